--- a/entity.go
+++ b/entity.go
@@ -1,6 +1,9 @@
 package bronzerill
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Zone is a data centre.
 type Zone struct {
@@ -43,10 +46,15 @@
 	RepeatablePaths []string `json:"repeatable-paths,omitempty" toml:"repeatable-paths" msgpack:"p"`
 	// ChecksFencing means that the engines refuse orders with an old number.
 	ChecksFencing bool `json:"checks-fencing" toml:"checks-fencing" msgpack:"e"`
+	// EchoesRequestID means that every chunk of an engine's answer carries the
+	// request's id, so that a crossed answer shows.
+	EchoesRequestID bool `json:"echoes-request-id" toml:"echoes-request-id" msgpack:"i"`
 }
 
-// IsRepeatable reports whether a call to the path may run more than once.
+// IsRepeatable reports whether a call to the path, leaving its query out of
+// account, may run more than once.
 func (p Pool) IsRepeatable(path string) bool {
+	path, _, _ = strings.Cut(path, "?")
 	for _, repeatable := range p.RepeatablePaths {
 		if path == repeatable {
 			return true
@@ -112,6 +120,8 @@
 	State SuspectState `json:"state" toml:"-" msgpack:"s"`
 	// Crashes counts the servers lost while the request ran; never above 2.
 	Crashes int `json:"crashes" toml:"-" msgpack:"c"`
+	// LastCrash is the id of the crash that was counted last.
+	LastCrash string `json:"last-crash" toml:"-" msgpack:"l"`
 	// Agent runs the trial; empty outside a trial.
 	Agent string `json:"agent,omitempty" toml:"-" msgpack:"a"`
 	// Expiry is when the fingerprint is released.
--- /dev/null
+++ b/internal/control/holder/report.go
@@ -0,0 +1,55 @@
+package holder
+
+import (
+	"time"
+
+	"bronzerill"
+)
+
+// reportShift leaves room for the reports of one term, at one a second.
+const reportShift = 32
+
+// ReportNumber returns a number that grows over terms and, within one, over
+// seconds.
+func ReportNumber(term uint64, seq uint32) uint64 { return term<<reportShift | uint64(seq) }
+
+// Report makes the service report; ok is false until the table is settled. A
+// silent agent counts nothing.
+func (t *Table) Report(now time.Time, number uint64, c *bronzerill.Config, promised map[string]int) (report bronzerill.Report, ok bool) {
+	if !t.IsSettled(now) {
+		return bronzerill.Report{}, false
+	}
+	report = bronzerill.Report{Number: number, Revision: c.Revision(), MadeAt: now.UTC()}
+	for _, pool := range c.Pools() {
+		p := t.poolReport(now, c, pool)
+		p.Promised = promised[pool.Name]
+		report.Pools = append(report.Pools, p.WithBalance())
+	}
+	return report, true
+}
+
+func (t *Table) poolReport(now time.Time, c *bronzerill.Config, pool bronzerill.Pool) bronzerill.PoolReport {
+	p := bronzerill.PoolReport{Pool: pool.Name}
+	byZone := make(map[string]int)
+	for _, r := range t.rows {
+		if r.Pool != pool.Name {
+			continue
+		}
+		if now.Before(r.until) {
+			p.Running += r.load.Running
+		}
+		if !t.takesWork(now, c, r) {
+			continue
+		}
+		slots := min(r.load.Limit, pool.Slots)
+		p.Servers++
+		p.Usable += slots
+		byZone[r.Zone] += slots
+	}
+	largest := 0
+	for _, slots := range byZone {
+		largest = max(largest, slots)
+	}
+	p.Dependable = p.Usable - largest
+	return p
+}
--- /dev/null
+++ b/internal/control/holder/service.go
@@ -0,0 +1,259 @@
+package holder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bronzerill"
+	"bronzerill/internal/control/replica"
+	"bronzerill/internal/control/state"
+	"bronzerill/internal/platform/list"
+)
+
+// Timing of the service.
+const (
+	tickInterval   = 100 * time.Millisecond
+	reportInterval = time.Second
+	listInterval   = time.Second
+	expireInterval = time.Minute
+	proposeTimeout = 2 * time.Second
+	// keptReports is the number of reports that can be read again.
+	keptReports = 64
+)
+
+// Group is the replicated log below the service.
+type Group interface {
+	Propose(ctx context.Context, command []byte) (any, error)
+	HasLease(now time.Time) bool
+	Status(now time.Time) replica.Status
+}
+
+// ServiceConfig configures a Service.
+type ServiceConfig struct {
+	Group   Group
+	Machine *state.Machine
+	// List is the platform's list; nil when the site has none.
+	List  list.Source
+	Clock func() time.Time
+	Log   hclog.Logger
+	// LeaderAddr turns a replica's name into the address for holders.
+	LeaderAddr func(name string) string
+}
+
+// Service answers holders and operators on the group's leader.
+type Service struct {
+	cfg ServiceConfig
+	mu  sync.Mutex
+	// table is nil unless this replica leads.
+	table *Table
+	// reports holds the last reports of this leader, oldest first.
+	reports   []bronzerill.Report
+	reportSeq uint32
+	reportAt  time.Time
+	expireAt  time.Time
+}
+
+// NewService returns a service that waits for the lead.
+func NewService(cfg ServiceConfig) *Service { return &Service{cfg: cfg} }
+
+// Run keeps the tables until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := s.cfg.Clock()
+		s.tick(now)
+		for _, c := range s.duties(now) {
+			if _, err := s.Propose(ctx, c); err != nil {
+				s.cfg.Log.Warn("duty not done", "error", err.Error())
+			}
+		}
+	}
+}
+
+// RunList follows the platform's list until ctx ends.
+func (s *Service) RunList(ctx context.Context) error {
+	if s.cfg.List == nil {
+		return nil
+	}
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		d, err := s.cfg.List.Fetch(ctx)
+		if err != nil {
+			s.cfg.Log.Warn("instance list not read", "error", err.Error())
+		} else {
+			s.setLeaving(d.Leaving())
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Service) setLeaving(leaving map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table != nil {
+		s.table.SetLeaving(leaving)
+	}
+}
+
+func (s *Service) tick(now time.Time) {
+	status := s.cfg.Group.Status(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !status.IsLeader || !status.Lease {
+		s.table = nil
+		s.reports = nil
+		return
+	}
+	if s.table == nil || s.table.Term() != status.Term {
+		s.cfg.Log.Info("leading", "term", status.Term)
+		s.table = NewTable(now, status.Term)
+		s.reports = nil
+		s.reportSeq = 0
+		s.expireAt = now.Add(expireInterval)
+	}
+	c := s.cfg.Machine.Config()
+	s.table.Tick(now, c)
+	if now.Before(s.reportAt) {
+		return
+	}
+	s.reportAt = now.Add(reportInterval)
+	s.makeReport(now, c)
+}
+
+func (s *Service) makeReport(now time.Time, c *bronzerill.Config) {
+	number := ReportNumber(s.table.Term(), s.reportSeq+1)
+	report, ok := s.table.Report(now, number, c, s.cfg.Machine.Promised(now))
+	if !ok {
+		return
+	}
+	s.reportSeq++
+	s.reports = append(s.reports, report)
+	if len(s.reports) > keptReports {
+		s.reports = s.reports[1:]
+	}
+}
+
+// duties returns the commands that the leader owes: abandoning the claims and
+// trials of lost agents, and expiry.
+func (s *Service) duties(now time.Time) []state.Command {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil || !s.table.IsSettled(now) {
+		return nil
+	}
+	var commands []state.Command
+	for _, agent := range s.cfg.Machine.RunningAgents() {
+		if !s.table.IsLive(now, agent) {
+			generation := s.cfg.Machine.Generation(agent)
+			commands = append(commands, state.Command{Abandon: &state.Abandon{Agent: agent, Generation: generation}})
+		}
+	}
+	if !now.Before(s.expireAt) {
+		s.expireAt = now.Add(expireInterval)
+		commands = append(commands, state.Command{Expire: &state.Expire{}})
+	}
+	return commands
+}
+
+// Propose replicates a command and returns the machine's result.
+func (s *Service) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	c.At = s.cfg.Clock()
+	data, err := c.Encode()
+	if err != nil {
+		return state.Result{}, bronzerill.Errorf(bronzerill.KindInternal, "encode command: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	value, err := s.cfg.Group.Propose(ctx, data)
+	if err != nil {
+		return state.Result{}, err
+	}
+	result, ok := value.(state.Result)
+	if !ok {
+		return state.Result{}, bronzerill.Errorf(bronzerill.KindInternal, "the machine gave no result")
+	}
+	return result, result.Err()
+}
+
+// Leading returns an error that names the leader unless this replica may answer
+// for the group.
+func (s *Service) Leading(now time.Time) error {
+	if s.cfg.Group.HasLease(now) {
+		return nil
+	}
+	return bronzerill.Errorf(bronzerill.KindNotLeader, "the leader is %q", s.Leader(now))
+}
+
+// Leader returns the leader's address for holders, or the empty string.
+func (s *Service) Leader(now time.Time) string {
+	return s.cfg.LeaderAddr(s.cfg.Group.Status(now).Leader)
+}
+
+// IsInForce reports whether a revision is in force at every holder.
+func (s *Service) IsInForce(now time.Time, revision uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table != nil && s.table.InForce(now, revision)
+}
+
+// Report returns the report of that number, or the last one for number 0.
+func (s *Service) Report(now time.Time, number uint64) (bronzerill.Report, error) {
+	if err := s.Leading(now); err != nil {
+		return bronzerill.Report{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.reports) - 1; i >= 0; i-- {
+		if number == 0 || s.reports[i].Number == number {
+			return s.reports[i], nil
+		}
+	}
+	return bronzerill.Report{}, bronzerill.Errorf(bronzerill.KindNoQuorum, "no such report; a new leader makes its first one after %s", settleTime)
+}
+
+// Overview is what an operator sees of the fleet.
+type Overview struct {
+	Replica  replica.Status `json:"replica"`
+	Revision uint64         `json:"revision"`
+	Settled  bool           `json:"settled"`
+	Holders  int            `json:"holders"`
+	Servers  []ServerRow    `json:"servers"`
+}
+
+// ServerRow is one backend server in an Overview.
+type ServerRow struct {
+	Name  string `json:"name"`
+	Pool  string `json:"pool"`
+	Zone  string `json:"zone"`
+	State string `json:"state"`
+}
+
+// Overview returns the present state of the fleet.
+func (s *Service) Overview(now time.Time) Overview {
+	o := Overview{Replica: s.cfg.Group.Status(now), Revision: s.cfg.Machine.Config().Revision()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return o
+	}
+	o.Settled = s.table.IsSettled(now)
+	o.Holders = s.table.HolderCount()
+	for _, server := range s.table.Servers() {
+		o.Servers = append(o.Servers, ServerRow{server.Name, server.Pool, server.Zone, server.State.String()})
+	}
+	return o
+}
--- /dev/null
+++ b/internal/control/operator/api.go
@@ -0,0 +1,251 @@
+// Package operator serves the operators of the fleet over HTTP: change tickets,
+// the service report, promises, suspects and repairs.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bronzerill"
+	"bronzerill/internal/control/holder"
+	"bronzerill/internal/control/replica"
+	"bronzerill/internal/control/state"
+)
+
+// maxBodyBytes bounds a request of an operator.
+const maxBodyBytes = 4 << 20
+
+// Control is what the operators' functions need.
+type Control interface {
+	Propose(ctx context.Context, c state.Command) (state.Result, error)
+	Leading(now time.Time) error
+	IsInForce(now time.Time, revision uint64) bool
+	Report(now time.Time, number uint64) (bronzerill.Report, error)
+	Overview(now time.Time) holder.Overview
+}
+
+// Members changes the list of replicas.
+type Members interface {
+	ChangeMembers(ctx context.Context, change func(replica.Members) (replica.Members, error)) error
+}
+
+// Config configures an API.
+type Config struct {
+	Control Control
+	Members Members
+	Machine *state.Machine
+	Clock   func() time.Time
+}
+
+// API is the HTTP handler for operators.
+type API struct{ cfg Config }
+
+// NewAPI returns the handler.
+func NewAPI(cfg Config) *API { return &API{cfg: cfg} }
+
+// Handler returns the HTTP handler.
+func (a *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/tickets", a.leading(a.postTicket))
+	mux.HandleFunc("POST /v1/tickets/dry-run", a.leading(a.dryRun))
+	mux.HandleFunc("GET /v1/tickets", a.leading(a.listTickets))
+	mux.HandleFunc("GET /v1/tickets/{number}", a.leading(a.getTicket))
+	mux.HandleFunc("GET /v1/config", a.leading(a.getConfig))
+	mux.HandleFunc("GET /v1/report", a.leading(a.getReport))
+	mux.HandleFunc("POST /v1/promises", a.leading(a.postPromise))
+	mux.HandleFunc("GET /v1/quarantine", a.leading(a.listSuspects))
+	mux.HandleFunc("DELETE /v1/quarantine/{print}", a.leading(a.releaseSuspect))
+	mux.HandleFunc("POST /v1/repair", a.leading(a.repair))
+	mux.HandleFunc("GET /v1/status", a.getStatus)
+	return mux
+}
+
+// Reply is the JSON form of an answer to an operator.
+type Reply struct {
+	Error *Fault `json:"error,omitempty"`
+	// Outcome is set for tickets, also for the one that won a conflict.
+	Outcome *bronzerill.Outcome `json:"outcome,omitempty"`
+	// InForce means that every holder has the revision or no lease.
+	InForce bool `json:"in-force,omitempty"`
+}
+
+// Fault is an error of the closed list.
+type Fault struct {
+	Kind   string   `json:"kind"`
+	Detail string   `json:"detail"`
+	Faults []string `json:"faults,omitempty"`
+}
+
+// RepairRequest replaces a lost replica.
+type RepairRequest struct {
+	Lost        string `json:"lost"`
+	Replacement string `json:"replacement"`
+	Addr        string `json:"addr"`
+}
+
+func (a *API) leading(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := a.cfg.Control.Leading(a.cfg.Clock()); err != nil {
+			writeError(w, err, nil)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The operator may have gone, which changes nothing here.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeError(w http.ResponseWriter, err error, result *state.Result) {
+	kind := bronzerill.KindOf(err)
+	reply := Reply{Error: &Fault{Kind: kind.String(), Detail: err.Error()}}
+	if result != nil {
+		reply.Error.Faults = result.Faults
+		if result.Outcome.Number > 0 {
+			reply.Outcome = &result.Outcome
+		}
+	}
+	writeJSON(w, kind.Answer().Status, reply)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, value any) bool {
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		writeError(w, bronzerill.Errorf(bronzerill.KindBadRequest, "body: %v", err), nil)
+		return false
+	}
+	return true
+}
+
+func (a *API) postTicket(w http.ResponseWriter, r *http.Request) {
+	var t bronzerill.Ticket
+	if !decode(w, r, &t) {
+		return
+	}
+	result, err := a.cfg.Control.Propose(r.Context(), state.Command{Ticket: &state.TicketCommand{Ticket: t}})
+	if err != nil {
+		writeError(w, err, &result)
+		return
+	}
+	writeJSON(w, http.StatusOK, a.ticketReply(result.Outcome))
+}
+
+func (a *API) ticketReply(o bronzerill.Outcome) Reply {
+	return Reply{Outcome: &o, InForce: a.cfg.Control.IsInForce(a.cfg.Clock(), o.Revision)}
+}
+
+func (a *API) dryRun(w http.ResponseWriter, r *http.Request) {
+	var t bronzerill.Ticket
+	if !decode(w, r, &t) {
+		return
+	}
+	config := a.cfg.Machine.Config()
+	if faults := t.Faults(config); len(faults) > 0 {
+		err := bronzerill.Errorf(bronzerill.KindTicketInvalid, "%d faults", len(faults))
+		writeError(w, err, &state.Result{Faults: faults})
+		return
+	}
+	writeJSON(w, http.StatusOK, bronzerill.Diff(config, config.WithChanges(t.Changes)))
+}
+
+func (a *API) listTickets(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.cfg.Machine.Outcomes())
+}
+
+func (a *API) getTicket(w http.ResponseWriter, r *http.Request) {
+	number, err := strconv.ParseUint(r.PathValue("number"), 10, 64)
+	if err != nil {
+		writeError(w, bronzerill.Errorf(bronzerill.KindBadRequest, "ticket number: %v", err), nil)
+		return
+	}
+	outcome, ok := a.cfg.Machine.Outcome(number)
+	if !ok {
+		writeError(w, bronzerill.Errorf(bronzerill.KindBadRequest, "no ticket %d", number), nil)
+		return
+	}
+	writeJSON(w, http.StatusOK, a.ticketReply(outcome))
+}
+
+func (a *API) getConfig(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.cfg.Machine.Config().DeltaSince(0))
+}
+
+func (a *API) getReport(w http.ResponseWriter, r *http.Request) {
+	number := uint64(0)
+	if given := r.URL.Query().Get("number"); given != "" {
+		parsed, err := strconv.ParseUint(given, 10, 64)
+		if err != nil {
+			writeError(w, bronzerill.Errorf(bronzerill.KindBadRequest, "report number: %v", err), nil)
+			return
+		}
+		number = parsed
+	}
+	report, err := a.cfg.Control.Report(a.cfg.Clock(), number)
+	if err != nil {
+		writeError(w, err, nil)
+		return
+	}
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (a *API) postPromise(w http.ResponseWriter, r *http.Request) {
+	var p state.Promise
+	if !decode(w, r, &p) {
+		return
+	}
+	a.propose(w, r, state.Command{Promise: &p})
+}
+
+func (a *API) propose(w http.ResponseWriter, r *http.Request, c state.Command) {
+	result, err := a.cfg.Control.Propose(r.Context(), c)
+	if err != nil {
+		writeError(w, err, &result)
+		return
+	}
+	writeJSON(w, http.StatusOK, Reply{})
+}
+
+func (a *API) listSuspects(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.cfg.Machine.Config().Suspects())
+}
+
+func (a *API) releaseSuspect(w http.ResponseWriter, r *http.Request) {
+	a.propose(w, r, state.Command{Pardon: &state.Pardon{Print: r.PathValue("print")}})
+}
+
+func (a *API) repair(w http.ResponseWriter, r *http.Request) {
+	var q RepairRequest
+	if !decode(w, r, &q) {
+		return
+	}
+	err := a.cfg.Members.ChangeMembers(r.Context(), q.change)
+	if err != nil {
+		writeError(w, err, nil)
+		return
+	}
+	writeJSON(w, http.StatusAccepted, Reply{})
+}
+
+// change adds the replacement as a learner; the leader does the rest.
+func (q RepairRequest) change(m replica.Members) (replica.Members, error) {
+	if _, ok := m.Get(q.Lost); !ok {
+		return m, bronzerill.Errorf(bronzerill.KindBadRequest, "lost replica %q is no member", q.Lost)
+	}
+	if _, ok := m.Get(q.Replacement); ok || q.Replacement == "" || q.Addr == "" {
+		return m, bronzerill.Errorf(bronzerill.KindBadRequest, "replacement %q is a member already, or has no name or address", q.Replacement)
+	}
+	return m.With(replica.Member{Name: q.Replacement, Addr: q.Addr, Replaces: q.Lost}), nil
+}
+
+func (a *API) getStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.cfg.Control.Overview(a.cfg.Clock()))
+}
--- a/internal/control/replica/members.go
+++ b/internal/control/replica/members.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/google/uuid"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -99,3 +100,8 @@
 	err := msgpack.Unmarshal(data, &m)
 	return m, err
 }
+
+// NewName returns a name for a replica that joins; no replica had it before.
+func NewName(base string) string {
+	return base + "-" + uuid.NewString()[:8]
+}
--- /dev/null
+++ b/internal/control/replica/peer.go
@@ -0,0 +1,110 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"bronzerill/internal/wire/netrpc"
+)
+
+// Service is the name of the replica service on net/rpc.
+const Service = "Replica"
+
+// Bounds of the links between replicas.
+const (
+	peerQueue      = 4096
+	deliverBatch   = 128
+	deliverTimeout = 400 * time.Millisecond
+)
+
+// Batch carries messages to one replica, in order.
+type Batch struct{ Messages []Message }
+
+// Ack answers a Batch.
+type Ack struct{}
+
+// RPC is the net/rpc face of a Node.
+type RPC struct{ node *Node }
+
+// NewRPC returns the face of a node.
+func NewRPC(n *Node) *RPC { return &RPC{node: n} }
+
+// Deliver hands messages to the node.
+func (r *RPC) Deliver(b *Batch, _ *Ack) error {
+	for _, m := range b.Messages {
+		r.node.Deliver(m)
+	}
+	return nil
+}
+
+// Peers is a Transport over net/rpc, with one queue and one sender for each
+// address.
+type Peers struct {
+	secret netrpc.Secret
+	log    hclog.Logger
+	ctx    context.Context
+	group  *errgroup.Group
+	mu     sync.Mutex
+	queues map[string]chan Message
+}
+
+var _ Transport = (*Peers)(nil)
+
+// NewPeers returns a transport whose senders run in the group until ctx ends.
+func NewPeers(ctx context.Context, group *errgroup.Group, secret netrpc.Secret, log hclog.Logger) *Peers {
+	return &Peers{secret: secret, log: log, ctx: ctx, group: group, queues: make(map[string]chan Message)}
+}
+
+// Send queues a message; a full queue drops it.
+func (p *Peers) Send(m Message, addr string) {
+	select {
+	case p.queue(addr) <- m:
+	default:
+		p.log.Debug("message dropped", "to", m.To, "type", m.Type.String())
+	}
+}
+
+func (p *Peers) queue(addr string) chan Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	queue, ok := p.queues[addr]
+	if !ok {
+		queue = make(chan Message, peerQueue)
+		p.queues[addr] = queue
+		p.group.Go(func() error { p.run(addr, queue); return nil })
+	}
+	return queue
+}
+
+func (p *Peers) run(addr string, queue chan Message) {
+	client := netrpc.NewClient(addr, p.secret)
+	defer client.Close()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case m := <-queue:
+			p.deliver(client, p.batch(m, queue))
+		}
+	}
+}
+
+func (p *Peers) batch(first Message, queue chan Message) *Batch {
+	b := &Batch{Messages: []Message{first}}
+	for len(b.Messages) < deliverBatch && len(queue) > 0 {
+		b.Messages = append(b.Messages, <-queue)
+	}
+	return b
+}
+
+func (p *Peers) deliver(client *netrpc.Client, b *Batch) {
+	ctx, cancel := context.WithTimeout(p.ctx, deliverTimeout)
+	defer cancel()
+	if err := client.Call(ctx, Service+".Deliver", b, &Ack{}); err != nil {
+		p.log.Debug("messages lost", "count", len(b.Messages), "error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/control/state/command.go
@@ -0,0 +1,71 @@
+// Package state is the replicated state machine of the control role: the
+// configuration, the booking ledger, suspects and promises.
+package state
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"bronzerill"
+)
+
+// Command is one entry of the log; exactly one of its pointers is set.
+type Command struct {
+	// At is the leader's clock when it proposed the command.
+	At       time.Time      `msgpack:"at"`
+	Ticket   *TicketCommand `msgpack:"tk,omitempty"`
+	Register *Register      `msgpack:"rg,omitempty"`
+	Claim    *Claim         `msgpack:"cl,omitempty"`
+	Finish   *Finish        `msgpack:"fi,omitempty"`
+	Release  *Release       `msgpack:"re,omitempty"`
+	Doubt    *Doubt         `msgpack:"do,omitempty"`
+	Abandon  *Abandon       `msgpack:"ab,omitempty"`
+	Crash    *Crash         `msgpack:"cr,omitempty"`
+	Trial    *Trial         `msgpack:"tr,omitempty"`
+	Verdict  *Verdict       `msgpack:"ve,omitempty"`
+	Pardon   *Pardon        `msgpack:"pa,omitempty"`
+	Promise  *Promise       `msgpack:"pr,omitempty"`
+	Expire   *Expire        `msgpack:"ex,omitempty"`
+}
+
+// Encode returns the log form of the command.
+func (c Command) Encode() ([]byte, error) { return msgpack.Marshal(c) }
+
+// TicketCommand submits a change ticket.
+type TicketCommand struct {
+	Ticket bronzerill.Ticket `msgpack:"t"`
+}
+
+// Register announces a new process of an agent; the result is its generation.
+type Register struct {
+	Agent string `msgpack:"a"`
+}
+
+// Expire drops what is past its retention.
+type Expire struct{}
+
+// Result is what the machine makes of a command.
+type Result struct {
+	Kind   bronzerill.Kind
+	Detail string
+	// Faults lists every reason why a ticket was refused.
+	Faults []string
+	// Outcome is a ticket's.
+	Outcome bronzerill.Outcome
+	// Generation is the answer to Register.
+	Generation uint64
+	// Decision is the answer to a claim, and Known the record behind it.
+	Decision Decision
+	Known    Record
+	// Revision is the configuration revision after the command.
+	Revision uint64
+}
+
+// Err returns the result as an error, or nil.
+func (r Result) Err() error {
+	if r.Kind == bronzerill.KindNone {
+		return nil
+	}
+	return bronzerill.Errorf(r.Kind, "%s", r.Detail)
+}
--- /dev/null
+++ b/internal/control/state/ledger.go
@@ -0,0 +1,306 @@
+package state
+
+import (
+	"time"
+
+	"bronzerill"
+)
+
+// Bounds and retention of the ledger.
+const (
+	// MaxAnswerBytes is the largest answer kept for replay.
+	MaxAnswerBytes = 64 << 10
+	// AnswerRetention is how long an answer can be replayed.
+	AnswerRetention = 24 * time.Hour
+	// KeyRetention is how long a key is remembered after its answer is dropped.
+	KeyRetention = 7 * 24 * time.Hour
+	// MaxRecords bounds the ledger; over it new claims are refused as not run.
+	MaxRecords = 2_000_000
+)
+
+// ClaimState is the state of a claim.
+type ClaimState uint8
+
+// The states of a claim.
+const (
+	// ClaimRunning means that the holder may send the call.
+	ClaimRunning ClaimState = iota + 1
+	// ClaimDone means that the call ran and its answer is known.
+	ClaimDone
+	// ClaimUnknown means that the call may have run.
+	ClaimUnknown
+	// ClaimReleased means that the call was never sent.
+	ClaimReleased
+)
+
+var claimNames = [...]string{"none", "running", "done", "unknown", "released"}
+
+// String returns the kebab-case name of the state.
+func (s ClaimState) String() string { return claimNames[s] }
+
+// Key names a non-idempotent call within the fleet.
+type Key struct {
+	Customer string `msgpack:"c"`
+	Pool     string `msgpack:"p"`
+	// Value is the caller's idempotency key.
+	Value string `msgpack:"v"`
+}
+
+// Attempt names the one process that may send a call.
+type Attempt struct {
+	Agent      string `msgpack:"a"`
+	Generation uint64 `msgpack:"g"`
+	ID         string `msgpack:"i"`
+}
+
+// Reply is the answer of a backend server, kept for replay.
+type Reply struct {
+	Status      int    `msgpack:"s"`
+	ContentType string `msgpack:"t"`
+	Body        []byte `msgpack:"b"`
+	// Dropped means that the body was too large to keep, or past retention.
+	Dropped bool `msgpack:"d,omitempty"`
+}
+
+// Record is the ledger's entry for one key.
+type Record struct {
+	Key Key `msgpack:"k"`
+	// BodyHash identifies path and body; a resend has the same.
+	BodyHash string `msgpack:"h"`
+	Attempt  `msgpack:"a"`
+	State    ClaimState `msgpack:"s"`
+	Reply    Reply      `msgpack:"r"`
+	// ChangedAt is when the state last changed.
+	ChangedAt time.Time `msgpack:"t"`
+}
+
+// Claim asks for the right to send a call.
+type Claim struct {
+	Key      Key    `msgpack:"k"`
+	BodyHash string `msgpack:"h"`
+	Attempt  `msgpack:"a"`
+}
+
+// Finish records the answer of a call, by the attempt that sent it.
+type Finish struct {
+	Key     Key `msgpack:"k"`
+	Attempt `msgpack:"a"`
+	Reply   Reply `msgpack:"r"`
+}
+
+// Release gives a claim back; the attempt has sent nothing and never will.
+type Release struct {
+	Key     Key `msgpack:"k"`
+	Attempt `msgpack:"a"`
+}
+
+// Doubt records that a call was sent and its answer was lost.
+type Doubt struct {
+	Key     Key `msgpack:"k"`
+	Attempt `msgpack:"a"`
+}
+
+// Abandon marks every running claim of an agent up to a generation as unknown.
+type Abandon struct {
+	Agent      string `msgpack:"a"`
+	Generation uint64 `msgpack:"g"`
+}
+
+// Ledger is the table of claims. An entry never goes from done or unknown back
+// to a state that lets a call be sent.
+type Ledger struct {
+	records map[Key]Record
+	// running indexes the running claims by agent.
+	running map[string]map[Key]struct{}
+}
+
+// NewLedger returns a ledger of the records.
+func NewLedger(records []Record) *Ledger {
+	l := &Ledger{records: make(map[Key]Record, len(records)), running: make(map[string]map[Key]struct{})}
+	for _, r := range records {
+		l.put(r)
+	}
+	return l
+}
+
+// Len returns the number of records.
+func (l *Ledger) Len() int { return len(l.records) }
+
+// Get returns the record of a key.
+func (l *Ledger) Get(key Key) (Record, bool) { r, ok := l.records[key]; return r, ok }
+
+// Running returns the agents with running claims.
+func (l *Ledger) Running() []string {
+	agents := make([]string, 0, len(l.running))
+	for agent := range l.running {
+		agents = append(agents, agent)
+	}
+	return agents
+}
+
+func (l *Ledger) put(r Record) {
+	if old, ok := l.records[r.Key]; ok && old.State == ClaimRunning {
+		l.forgetRunning(old)
+	}
+	l.records[r.Key] = r
+	if r.State != ClaimRunning {
+		return
+	}
+	if l.running[r.Agent] == nil {
+		l.running[r.Agent] = make(map[Key]struct{})
+	}
+	l.running[r.Agent][r.Key] = struct{}{}
+}
+
+func (l *Ledger) forgetRunning(r Record) {
+	delete(l.running[r.Agent], r.Key)
+	if len(l.running[r.Agent]) == 0 {
+		delete(l.running, r.Agent)
+	}
+}
+
+// Decision tells an attempt what to do about its claim.
+type Decision uint8
+
+// The decisions on a claim. Only DecisionSend lets the attempt send the call.
+const (
+	DecisionRefuse Decision = iota
+	DecisionSend
+	DecisionReplay
+	DecisionWait
+)
+
+// Claim decides who may send a call. The kind says why it is refused.
+func (l *Ledger) Claim(now time.Time, c Claim) (Record, Decision, bronzerill.Kind) {
+	known, ok := l.records[c.Key]
+	if !ok && len(l.records) >= MaxRecords {
+		return Record{}, DecisionRefuse, bronzerill.KindTableFull
+	}
+	if !ok {
+		return l.grant(now, c), DecisionSend, bronzerill.KindNone
+	}
+	if known.BodyHash != c.BodyHash {
+		return known, DecisionRefuse, bronzerill.KindKeyConflict
+	}
+	switch known.State {
+	case ClaimRunning:
+		return known, decideRunning(known, c), bronzerill.KindNone
+	case ClaimDone:
+		return l.decideDone(known)
+	case ClaimReleased:
+		if known.Attempt == c.Attempt {
+			// A late duplicate: the attempt has given up already.
+			return known, DecisionRefuse, bronzerill.KindAborted
+		}
+		return l.grant(now, c), DecisionSend, bronzerill.KindNone
+	default:
+		return known, DecisionRefuse, bronzerill.KindOutcomeUnknown
+	}
+}
+
+func decideRunning(known Record, c Claim) Decision {
+	if known.Attempt == c.Attempt {
+		return DecisionSend
+	}
+	return DecisionWait
+}
+
+func (l *Ledger) decideDone(known Record) (Record, Decision, bronzerill.Kind) {
+	if known.Reply.Dropped {
+		return known, DecisionRefuse, bronzerill.KindAnswerNotKept
+	}
+	return known, DecisionReplay, bronzerill.KindNone
+}
+
+func (l *Ledger) grant(now time.Time, c Claim) Record {
+	r := Record{Key: c.Key, BodyHash: c.BodyHash, Attempt: c.Attempt, State: ClaimRunning, ChangedAt: now}
+	l.put(r)
+	return r
+}
+
+// Finish records an answer. An answer that comes after its claim was abandoned
+// still counts: it only makes the unknown known.
+func (l *Ledger) Finish(now time.Time, f Finish) bronzerill.Kind {
+	known, ok := l.records[f.Key]
+	if !ok || known.Attempt != f.Attempt {
+		return bronzerill.KindAborted
+	}
+	if known.State == ClaimDone {
+		return bronzerill.KindNone
+	}
+	if known.State == ClaimReleased {
+		return bronzerill.KindAborted
+	}
+	known.State = ClaimDone
+	known.Reply = f.Reply
+	known.ChangedAt = now
+	if len(f.Reply.Body) > MaxAnswerBytes {
+		known.Reply.Body = nil
+		known.Reply.Dropped = true
+	}
+	l.put(known)
+	return bronzerill.KindNone
+}
+
+// Release gives a claim back. The record stays, so that a late duplicate of the
+// claim isn't granted.
+func (l *Ledger) Release(now time.Time, r Release) bronzerill.Kind {
+	known, ok := l.records[r.Key]
+	if !ok || known.Attempt != r.Attempt {
+		return bronzerill.KindNone
+	}
+	if known.State != ClaimRunning {
+		return bronzerill.KindAborted
+	}
+	known.State = ClaimReleased
+	known.ChangedAt = now
+	l.put(known)
+	return bronzerill.KindNone
+}
+
+// Doubt marks a running claim as unknown.
+func (l *Ledger) Doubt(now time.Time, d Doubt) {
+	known, ok := l.records[d.Key]
+	if !ok || known.Attempt != d.Attempt || known.State != ClaimRunning {
+		return
+	}
+	known.State = ClaimUnknown
+	known.ChangedAt = now
+	l.put(known)
+}
+
+// Abandon marks the running claims of an agent's earlier processes as unknown.
+func (l *Ledger) Abandon(now time.Time, a Abandon) {
+	for key := range l.running[a.Agent] {
+		r := l.records[key]
+		if r.Generation > a.Generation {
+			continue
+		}
+		r.State = ClaimUnknown
+		r.ChangedAt = now
+		l.put(r)
+	}
+}
+
+// Expire drops answers and then keys that are past their retention.
+func (l *Ledger) Expire(now time.Time) {
+	for key, r := range l.records {
+		age := now.Sub(r.ChangedAt)
+		switch {
+		case r.State == ClaimRunning:
+		case age > AnswerRetention+KeyRetention:
+			delete(l.records, key)
+		case r.State == ClaimDone && age > AnswerRetention && !r.Reply.Dropped:
+			r.Reply = Reply{Status: r.Reply.Status, Dropped: true}
+			l.records[key] = r
+		}
+	}
+}
+
+func (l *Ledger) list() []Record {
+	list := make([]Record, 0, len(l.records))
+	for _, r := range l.records {
+		list = append(list, r)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/control/state/machine.go
@@ -0,0 +1,337 @@
+package state
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"bronzerill"
+)
+
+// maxTickets bounds the outcomes that are kept for resent tickets.
+const maxTickets = 100_000
+
+// Machine is the replicated state. Apply is called with commands in log order;
+// readers may run at the same time.
+type Machine struct {
+	mu     sync.RWMutex
+	config *bronzerill.Config
+	ledger *Ledger
+	// outcomes holds the tickets by number; order lists them as accepted.
+	outcomes map[uint64]bronzerill.Outcome
+	order    []uint64
+	// oldestTicket is the highest number whose outcome was dropped.
+	oldestTicket uint64
+	// generations holds the newest process of each agent; it never falls.
+	generations map[string]uint64
+	promises    map[string]Promise
+}
+
+// image is the snapshot form of the machine.
+type image struct {
+	Config       bronzerill.Delta
+	Records      []Record
+	Outcomes     []bronzerill.Outcome
+	OldestTicket uint64
+	Generations  map[string]uint64
+	Promises     map[string]Promise
+}
+
+// NewMachine returns an empty machine.
+func NewMachine() *Machine {
+	return &Machine{
+		config:      &bronzerill.Config{},
+		ledger:      NewLedger(nil),
+		outcomes:    make(map[uint64]bronzerill.Outcome),
+		generations: make(map[string]uint64),
+		promises:    make(map[string]Promise),
+	}
+}
+
+// Config returns the present configuration.
+func (m *Machine) Config() *bronzerill.Config {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.config
+}
+
+// Record returns the ledger's record of a key.
+func (m *Machine) Record(key Key) (Record, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.ledger.Get(key)
+}
+
+// RunningAgents returns the agents that hold running claims or trials.
+func (m *Machine) RunningAgents() []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	agents := m.ledger.Running()
+	for _, s := range m.config.Suspects() {
+		if s.State == bronzerill.SuspectTrial {
+			agents = append(agents, s.Agent)
+		}
+	}
+	return agents
+}
+
+// Generation returns the newest registered process of an agent.
+func (m *Machine) Generation(agent string) uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.generations[agent]
+}
+
+// Outcome returns the outcome of a ticket.
+func (m *Machine) Outcome(number uint64) (bronzerill.Outcome, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	o, ok := m.outcomes[number]
+	return o, ok
+}
+
+// Outcomes returns the kept tickets, oldest first.
+func (m *Machine) Outcomes() []bronzerill.Outcome {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.outcomeList()
+}
+
+func (m *Machine) outcomeList() []bronzerill.Outcome {
+	list := make([]bronzerill.Outcome, 0, len(m.order))
+	for _, number := range m.order {
+		list = append(list, m.outcomes[number])
+	}
+	return list
+}
+
+// Promised returns the slots promised per pool at the given time.
+func (m *Machine) Promised(now time.Time) map[string]int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	promised := make(map[string]int)
+	for _, p := range m.promises {
+		if now.Before(p.Until) {
+			promised[p.Pool] += p.Slots
+		}
+	}
+	return promised
+}
+
+// Apply runs one command and returns its Result.
+func (m *Machine) Apply(index uint64, data []byte) any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var c Command
+	if err := msgpack.Unmarshal(data, &c); err != nil {
+		return Result{Kind: bronzerill.KindInternal, Detail: err.Error()}
+	}
+	result := m.run(index, c)
+	result.Revision = m.config.Revision()
+	if result.Kind != bronzerill.KindNone && result.Detail == "" {
+		result.Detail = result.Known.State.String()
+	}
+	return result
+}
+
+func (m *Machine) run(index uint64, c Command) Result {
+	switch {
+	case c.Ticket != nil:
+		return m.runTicket(c.Ticket.Ticket)
+	case c.Register != nil:
+		return m.runRegister(index, c.At, *c.Register)
+	case c.Claim != nil:
+		return m.runClaim(c.At, *c.Claim)
+	case c.Finish != nil:
+		return Result{Kind: m.ledger.Finish(c.At, *c.Finish)}
+	case c.Release != nil:
+		return Result{Kind: m.ledger.Release(c.At, *c.Release)}
+	case c.Doubt != nil:
+		m.ledger.Doubt(c.At, *c.Doubt)
+		return Result{}
+	case c.Abandon != nil:
+		m.abandon(c.At, *c.Abandon)
+		return Result{}
+	case c.Crash != nil:
+		m.change(crashChanges(m.config, c.At, *c.Crash))
+		return Result{}
+	case c.Trial != nil:
+		changes, kind := trialChanges(m.config, *c.Trial)
+		m.change(changes)
+		return Result{Kind: kind, Detail: c.Trial.Print}
+	case c.Verdict != nil:
+		return m.runVerdict(*c.Verdict)
+	case c.Pardon != nil:
+		return m.runPardon(*c.Pardon)
+	case c.Promise != nil:
+		return m.runPromise(c.At, *c.Promise)
+	case c.Expire != nil:
+		m.runExpire(c.At)
+		return Result{}
+	}
+	return Result{Kind: bronzerill.KindInternal, Detail: "empty command"}
+}
+
+// change moves to the next revision, unless nothing changes.
+func (m *Machine) change(changes bronzerill.Changes) {
+	if len(changes.Suspects)+len(changes.Removals) > 0 {
+		m.config = m.config.WithChanges(changes)
+	}
+}
+
+func (m *Machine) runTicket(t bronzerill.Ticket) Result {
+	digest := t.Digest()
+	if known, ok := m.outcomes[t.Number]; ok {
+		if known.Digest == digest {
+			return Result{Outcome: known}
+		}
+		detail := fmt.Sprintf("number %d was taken by the ticket with digest %s at revision %d", t.Number, known.Digest, known.Revision)
+		return Result{Kind: bronzerill.KindTicketConflict, Detail: detail, Outcome: known}
+	}
+	if t.Number <= m.oldestTicket {
+		detail := fmt.Sprintf("number %d is too old to compare; use one above %d", t.Number, m.oldestTicket)
+		return Result{Kind: bronzerill.KindTicketConflict, Detail: detail}
+	}
+	if faults := t.Faults(m.config); len(faults) > 0 {
+		return Result{Kind: bronzerill.KindTicketInvalid, Detail: fmt.Sprintf("%d faults", len(faults)), Faults: faults}
+	}
+	m.config = m.config.WithChanges(t.Changes)
+	outcome := bronzerill.Outcome{Number: t.Number, Digest: digest, Revision: m.config.Revision()}
+	m.keepOutcome(outcome)
+	return Result{Outcome: outcome}
+}
+
+func (m *Machine) keepOutcome(o bronzerill.Outcome) {
+	m.outcomes[o.Number] = o
+	m.order = append(m.order, o.Number)
+	if len(m.order) > maxTickets {
+		m.oldestTicket = max(m.oldestTicket, m.order[0])
+		delete(m.outcomes, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+func (m *Machine) runRegister(index uint64, now time.Time, r Register) Result {
+	m.abandon(now, Abandon{Agent: r.Agent, Generation: m.generations[r.Agent]})
+	// The log index only grows, so it serves as the generation.
+	m.generations[r.Agent] = index
+	return Result{Generation: index}
+}
+
+func (m *Machine) abandon(now time.Time, a Abandon) {
+	m.ledger.Abandon(now, a)
+	m.change(lostTrials(m.config, now, a.Agent))
+}
+
+func (m *Machine) runClaim(now time.Time, c Claim) Result {
+	if c.Generation != m.generations[c.Agent] {
+		return Result{Kind: bronzerill.KindAborted, Detail: "a newer process of the agent has registered"}
+	}
+	record, decision, kind := m.ledger.Claim(now, c)
+	return Result{Kind: kind, Decision: decision, Known: record}
+}
+
+func (m *Machine) runVerdict(v Verdict) Result {
+	s, ok := m.config.Suspect(v.Print)
+	if !ok || s.State != bronzerill.SuspectTrial || s.Agent != v.Agent {
+		return Result{}
+	}
+	if v.Cleared {
+		m.change(bronzerill.Changes{Removals: []bronzerill.Removal{suspectRemoval(v.Print)}})
+		return Result{}
+	}
+	s.State = bronzerill.SuspectHeld
+	s.Agent = ""
+	m.change(bronzerill.Changes{Suspects: []bronzerill.Suspect{s}})
+	return Result{}
+}
+
+func (m *Machine) runPardon(p Pardon) Result {
+	if _, ok := m.config.Suspect(p.Print); !ok {
+		return Result{Kind: bronzerill.KindBadRequest, Detail: "fingerprint not found"}
+	}
+	m.change(bronzerill.Changes{Removals: []bronzerill.Removal{suspectRemoval(p.Print)}})
+	return Result{}
+}
+
+func (m *Machine) runPromise(now time.Time, p Promise) Result {
+	if fault := p.fault(m.config); fault != "" {
+		return Result{Kind: bronzerill.KindBadRequest, Detail: fault}
+	}
+	if p.Slots == 0 {
+		delete(m.promises, p.ID)
+		return Result{}
+	}
+	if _, ok := m.promises[p.ID]; !ok && len(m.promises) >= maxPromises {
+		return Result{Kind: bronzerill.KindTableFull, Detail: "promises"}
+	}
+	if !now.Before(p.Until) {
+		return Result{Kind: bronzerill.KindBadRequest, Detail: "until: is past"}
+	}
+	m.promises[p.ID] = p
+	return Result{}
+}
+
+func (m *Machine) runExpire(now time.Time) {
+	m.ledger.Expire(now)
+	m.change(expiredSuspects(m.config, now))
+	for id, p := range m.promises {
+		if now.After(p.Until) {
+			delete(m.promises, id)
+		}
+	}
+}
+
+// Snapshot returns the machine's whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	data, err := msgpack.Marshal(image{
+		Config:       m.config.DeltaSince(0),
+		Records:      m.ledger.list(),
+		Outcomes:     m.outcomeList(),
+		OldestTicket: m.oldestTicket,
+		Generations:  m.generations,
+		Promises:     m.promises,
+	})
+	return data, errors.Wrap(err, "encode state")
+}
+
+// Restore replaces the machine's state by a snapshot's.
+func (m *Machine) Restore(data []byte) error {
+	var i image
+	if err := msgpack.Unmarshal(data, &i); err != nil {
+		return errors.Wrap(err, "decode state")
+	}
+	restored := NewMachine()
+	if i.Config.To > 0 {
+		config, ok := restored.config.WithDelta(i.Config)
+		if !ok {
+			return errors.New("snapshot holds no configuration")
+		}
+		restored.config = config
+	}
+	for _, o := range i.Outcomes {
+		restored.keepOutcome(o)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.config = restored.config
+	m.ledger = NewLedger(i.Records)
+	m.outcomes = restored.outcomes
+	m.order = restored.order
+	m.oldestTicket = i.OldestTicket
+	m.generations = orEmpty(i.Generations)
+	m.promises = orEmpty(i.Promises)
+	return nil
+}
+
+func orEmpty[T any](table map[string]T) map[string]T {
+	if table == nil {
+		return make(map[string]T)
+	}
+	return table
+}
--- /dev/null
+++ b/internal/control/state/suspect.go
@@ -0,0 +1,153 @@
+package state
+
+import (
+	"time"
+
+	"bronzerill"
+)
+
+// Bounds of the suspect table.
+const (
+	// HoldTime is how long a suspect waits for a trial before it is released.
+	HoldTime = 10 * time.Minute
+	// QuarantineTime is how long a quarantined request stays refused.
+	QuarantineTime = 24 * time.Hour
+	// crashesToQuarantine is the number of servers that one request may cost.
+	crashesToQuarantine = 2
+	maxSuspects         = 4096
+	maxCrashPrints      = 256
+)
+
+// Crash reports the requests that ran on a backend server when it crashed.
+type Crash struct {
+	Pool  string `msgpack:"p"`
+	Agent string `msgpack:"a"`
+	// ID differs for every crash, so that a doubled report counts once for each
+	// fingerprint.
+	ID     string   `msgpack:"i"`
+	Prints []string `msgpack:"f"`
+}
+
+// Trial asks to run a suspect alone on one server.
+type Trial struct {
+	Print string `msgpack:"f"`
+	Agent string `msgpack:"a"`
+}
+
+// Verdict ends a trial that did not crash its server.
+type Verdict struct {
+	Print string `msgpack:"f"`
+	Agent string `msgpack:"a"`
+	// Cleared is false when the trial showed nothing.
+	Cleared bool `msgpack:"c"`
+}
+
+// Pardon releases a fingerprint by an operator's hand.
+type Pardon struct {
+	Print string `msgpack:"f"`
+}
+
+// crashChanges returns the suspects that a crash makes or worsens. While a
+// trial ran on the server, its request alone is blamed.
+func crashChanges(c *bronzerill.Config, now time.Time, crash Crash) bronzerill.Changes {
+	prints := crash.Prints
+	if len(prints) > maxCrashPrints {
+		prints = prints[:maxCrashPrints]
+	}
+	for _, s := range c.Suspects() {
+		if s.State == bronzerill.SuspectTrial && s.Agent == crash.Agent {
+			return bronzerill.Changes{Suspects: []bronzerill.Suspect{quarantined(now, s)}}
+		}
+	}
+	var changes bronzerill.Changes
+	for _, print := range prints {
+		s, known := c.Suspect(print)
+		if !known {
+			s = bronzerill.Suspect{Name: print, Pool: crash.Pool, State: bronzerill.SuspectHeld, Expiry: now.Add(HoldTime)}
+		}
+		if s.LastCrash == crash.ID || s.State == bronzerill.SuspectQuarantined {
+			continue
+		}
+		s.LastCrash = crash.ID
+		s.Crashes++
+		if s.Crashes >= crashesToQuarantine {
+			s = quarantined(now, s)
+		}
+		changes.Suspects = append(changes.Suspects, s)
+	}
+	changes.Removals = overflow(c, len(changes.Suspects))
+	return changes
+}
+
+func quarantined(now time.Time, s bronzerill.Suspect) bronzerill.Suspect {
+	s.State = bronzerill.SuspectQuarantined
+	s.Crashes = crashesToQuarantine
+	s.Agent = ""
+	s.Expiry = now.Add(QuarantineTime)
+	return s
+}
+
+// overflow makes room by releasing held suspects; quarantined ones stay.
+func overflow(c *bronzerill.Config, added int) []bronzerill.Removal {
+	excess := c.SuspectCount() + added - maxSuspects
+	if excess <= 0 {
+		return nil
+	}
+	var removals []bronzerill.Removal
+	for _, s := range c.Suspects() {
+		if len(removals) == excess {
+			break
+		}
+		if s.State == bronzerill.SuspectHeld {
+			removals = append(removals, suspectRemoval(s.Name))
+		}
+	}
+	return removals
+}
+
+func suspectRemoval(print string) bronzerill.Removal {
+	return bronzerill.Removal{Kind: bronzerill.EntitySuspect, Name: print}
+}
+
+// trialChanges grants a trial when the suspect is held and no other trial runs
+// in its pool.
+func trialChanges(c *bronzerill.Config, t Trial) (bronzerill.Changes, bronzerill.Kind) {
+	s, ok := c.Suspect(t.Print)
+	switch {
+	case !ok:
+		return bronzerill.Changes{}, bronzerill.KindAborted
+	case s.State == bronzerill.SuspectQuarantined:
+		return bronzerill.Changes{}, bronzerill.KindQuarantined
+	case s.State == bronzerill.SuspectTrial:
+		return bronzerill.Changes{}, bronzerill.KindSuspect
+	}
+	for _, other := range c.Suspects() {
+		if other.Pool == s.Pool && other.State == bronzerill.SuspectTrial {
+			return bronzerill.Changes{}, bronzerill.KindSuspect
+		}
+	}
+	s.State = bronzerill.SuspectTrial
+	s.Agent = t.Agent
+	return bronzerill.Changes{Suspects: []bronzerill.Suspect{s}}, bronzerill.KindNone
+}
+
+// lostTrials quarantines what ran as a trial on an agent that is gone.
+func lostTrials(c *bronzerill.Config, now time.Time, agent string) bronzerill.Changes {
+	var changes bronzerill.Changes
+	for _, s := range c.Suspects() {
+		if s.State == bronzerill.SuspectTrial && s.Agent == agent {
+			changes.Suspects = append(changes.Suspects, quarantined(now, s))
+		}
+	}
+	return changes
+}
+
+func expiredSuspects(c *bronzerill.Config, now time.Time) bronzerill.Changes {
+	var changes bronzerill.Changes
+	for _, s := range c.Suspects() {
+		if s.State != bronzerill.SuspectTrial && now.After(s.Expiry) {
+			changes.Removals = append(changes.Removals, suspectRemoval(s.Name))
+		}
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/entry/agent/budget.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"sync"
+	"time"
+)
+
+// Parameters of the retry budget.
+const (
+	// budgetPerRequest is what each request adds: at most one retry for twenty
+	// requests in the long run.
+	budgetPerRequest = 0.05
+	budgetPerSecond  = 2.0
+	budgetMax        = 100.0
+)
+
+// Budget bounds the retries of an entry to a share of its requests, so that a
+// storm of failures can't multiply the load.
+type Budget struct {
+	mu     sync.Mutex
+	tokens float64
+	at     time.Time
+}
+
+// NewBudget returns a budget that starts with ten seconds' worth.
+func NewBudget(now time.Time) *Budget { return &Budget{tokens: 10 * budgetPerSecond, at: now} }
+
+// Requested adds the share of one request.
+func (b *Budget) Requested() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(budgetMax, b.tokens+budgetPerRequest)
+}
+
+// Take reports whether one more retry is allowed now.
+func (b *Budget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(budgetMax, b.tokens+now.Sub(b.at).Seconds()*budgetPerSecond)
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/entry/agent/client.go
@@ -0,0 +1,204 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzerill"
+	"bronzerill/internal/operator/metrics"
+	"bronzerill/internal/wire/exchange"
+)
+
+// Parameters of exchanges.
+const (
+	maxAttaches   = 4
+	attachPause   = 50 * time.Millisecond
+	cancelTimeout = time.Second
+	dialTimeout   = time.Second
+	idleConns     = 16
+	idleTimeout   = 30 * time.Second
+	maxErrorBytes = 4 << 10
+)
+
+// errLost means that the connection to the agent ended or fell silent before
+// the answer was whole.
+var errLost = errors.New("connection to the agent lost")
+
+// errGone means that no process listens at the agent's address.
+var errGone = errors.New("agent process is gone")
+
+// errCaller means that the caller's own connection failed.
+var errCaller = errors.New("caller has gone")
+
+// Output takes an answer on its way to the caller.
+type Output interface {
+	Head(h *exchange.Head) error
+	Data(p []byte) error
+}
+
+// Client opens exchanges at agents.
+type Client struct {
+	secret string
+	shared *http.Client
+}
+
+// NewClient returns a client that proves the shared secret.
+func NewClient(secret string) *Client {
+	return &Client{secret: secret, shared: &http.Client{Transport: newTransport(false)}}
+}
+
+func newTransport(single bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		DisableKeepAlives:   single,
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.shared.CloseIdleConnections() }
+
+// Exchange runs one attempt at one agent and copies the whole answer. A lost
+// connection is replaced and the answer goes on where it stopped; the request
+// itself is never sent twice.
+func (c *Client) Exchange(ctx context.Context, addr string, o exchange.Open, out Output) error {
+	checker := exchange.NewChecker(o.ID)
+	err := c.follow(ctx, c.shared, addr, o, checker, out)
+	if errors.Is(err, errGone) {
+		return bronzerill.Errorf(bronzerill.KindUnreachable, "agent at %s", addr)
+	}
+	for tries := 0; errors.Is(err, errLost) && tries < maxAttaches && ctx.Err() == nil; tries++ {
+		metrics.Count(metrics.EventResumed)
+		time.Sleep(attachPause)
+		err = c.attach(ctx, addr, o, checker, out)
+	}
+	switch {
+	case errors.Is(err, errCaller) || err != nil && ctx.Err() != nil:
+		c.cancel(addr, o)
+		return bronzerill.Errorf(bronzerill.KindCanceled, "%v", err)
+	case errors.Is(err, errGone):
+		return bronzerill.Errorf(bronzerill.KindAgentGone, "agent at %s", addr)
+	case errors.Is(err, errLost):
+		return bronzerill.Errorf(bronzerill.KindTruncated, "agent at %s: %v", addr, err)
+	}
+	return err
+}
+
+// attach comes back to the exchange over a connection of its own: kept ones to
+// this agent may all have gone silent.
+func (c *Client) attach(ctx context.Context, addr string, o exchange.Open, checker *exchange.Checker, out Output) error {
+	o.Attach = true
+	o.Offset = checker.Offset()
+	o.Body = nil
+	transport := newTransport(true)
+	defer transport.CloseIdleConnections()
+	return c.follow(ctx, &http.Client{Transport: transport}, addr, o, checker, out)
+}
+
+// follow opens or joins the exchange and takes frames until it ends.
+func (c *Client) follow(ctx context.Context, client *http.Client, addr string, o exchange.Open, checker *exchange.Checker, out Output) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(exchange.SilenceTimeout, func() {
+		metrics.Count(metrics.EventSilent)
+		cancel()
+	})
+	defer silence.Stop()
+	response, err := c.post(ctx, client, addr, exchange.PathOpen, o)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errGone
+	}
+	if err != nil && isDial(err) && !o.Attach {
+		return errGone
+	}
+	if err != nil {
+		return errors.Wrap(errLost, err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return statusError(response)
+	}
+	return takeFrames(gob.NewDecoder(response.Body), silence, checker, out)
+}
+
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func takeFrames(decoder *gob.Decoder, silence *time.Timer, checker *exchange.Checker, out Output) error {
+	for {
+		var f exchange.Frame
+		if err := decoder.Decode(&f); err != nil {
+			return errors.Wrap(errLost, err.Error())
+		}
+		silence.Reset(exchange.SilenceTimeout)
+		headed := checker.Headed()
+		data, err := checker.Take(&f)
+		if err != nil {
+			return err
+		}
+		if err := pass(&f, headed, data, out); err != nil {
+			return errors.Wrap(errCaller, err.Error())
+		}
+		if f.Type == exchange.FrameEnd {
+			return nil
+		}
+	}
+}
+
+func pass(f *exchange.Frame, headed bool, data []byte, out Output) error {
+	if f.Type == exchange.FrameHead && !headed {
+		return out.Head(f.Head)
+	}
+	if len(data) > 0 {
+		return out.Data(data)
+	}
+	return nil
+}
+
+func statusError(response *http.Response) error {
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	kind := bronzerill.KindInternal
+	if response.StatusCode == http.StatusUnauthorized {
+		// The agent read no request, so nothing ran.
+		kind = bronzerill.KindAborted
+	}
+	return bronzerill.Errorf(kind, "agent answers %s: %s", response.Status, detail)
+}
+
+func (c *Client) post(ctx context.Context, client *http.Client, addr, path string, o exchange.Open) (*http.Response, error) {
+	var body bytes.Buffer
+	if err := gob.NewEncoder(&body).Encode(&o); err != nil {
+		return nil, errors.Wrap(err, "encode exchange")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, &body)
+	if err != nil {
+		return nil, errors.Wrap(err, "agent address")
+	}
+	exchange.Authorize(request, c.secret)
+	return client.Do(request)
+}
+
+// cancel tells the agent that nobody waits any more. If the word is lost, the
+// agent notices by itself.
+func (c *Client) cancel(addr string, o exchange.Open) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	o.Body = nil
+	response, err := c.post(ctx, c.shared, addr, exchange.PathCancel, o)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
--- /dev/null
+++ b/internal/entry/agent/forwarder.go
@@ -0,0 +1,253 @@
+package agent
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bronzerill"
+	"bronzerill/internal/control/state"
+	"bronzerill/internal/operator/metrics"
+	"bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/exchange"
+)
+
+// Bounds of the search for a server.
+const (
+	// maxWaiting bounds the requests that wait for a free slot.
+	maxWaiting = 4096
+	// crashTimeout bounds the wait until a crash is known everywhere.
+	crashTimeout = 5 * time.Second
+)
+
+// Fleet is what the forwarder needs to know of the control role.
+type Fleet interface {
+	View() *control.View
+	// Ring returns the ring of a pool in the present view.
+	Ring(pool string) *Ring
+}
+
+// CrashReporter tells control what ran on a server that is gone.
+type CrashReporter interface {
+	Crash(ctx context.Context, c state.Crash) error
+}
+
+// ForwarderConfig configures a Forwarder.
+type ForwarderConfig struct {
+	Client  *Client
+	Fleet   Fleet
+	Crashes CrashReporter
+	Clock   func() time.Time
+	Log     hclog.Logger
+	Seed    uint64
+}
+
+// Request is one request of a caller.
+type Request struct {
+	Open   exchange.Open
+	Policy bronzerill.Policy
+	// Preferred names the server that served the chat last; may be empty.
+	Preferred string
+	// Repeatable means that running it twice does no harm.
+	Repeatable bool
+}
+
+// Forwarder finds a server for each request and brings back its whole answer.
+type Forwarder struct {
+	cfg      ForwarderConfig
+	backoffs *Backoffs
+	budget   *Budget
+	waiting  atomic.Int64
+}
+
+// NewForwarder returns a forwarder.
+func NewForwarder(cfg ForwarderConfig) *Forwarder {
+	return &Forwarder{cfg: cfg, backoffs: NewBackoffs(cfg.Seed), budget: NewBudget(cfg.Clock())}
+}
+
+// Tick runs the systems over the forwarder's tables.
+func (f *Forwarder) Tick(now time.Time) { f.backoffs.Tick(now) }
+
+// search is the state of one request's way to a server.
+type search struct {
+	*Forwarder
+	q         Request
+	out       *headOutput
+	patience  time.Time
+	attempts  int
+	lastError error
+	// ranError is the failure of an attempt that may have run, when the
+	// request was sent again after it.
+	ranError error
+}
+
+// headOutput remembers whether the caller has seen a part of the answer.
+type headOutput struct {
+	Output
+	headed bool
+}
+
+// Head passes the head on.
+func (h *headOutput) Head(head *exchange.Head) error {
+	h.headed = true
+	return h.Output.Head(head)
+}
+
+// Do runs the request. When it returns an error after the answer's head was
+// given out, the caller's connection must be broken off.
+func (f *Forwarder) Do(ctx context.Context, q Request, out Output) error {
+	f.budget.Requested()
+	now := f.cfg.Clock()
+	s := &search{Forwarder: f, q: q, out: &headOutput{Output: out}, patience: now.Add(q.Policy.Patience())}
+	key := Key(q.Open.Customer, q.Open.Chat, q.Open.Print)
+	for {
+		plan, err := s.plan(key)
+		if err != nil {
+			return s.result(err)
+		}
+		done, err := s.round(ctx, plan)
+		if done {
+			return s.result(err)
+		}
+		if err := s.pause(ctx, plan.Wait); err != nil {
+			return s.result(err)
+		}
+	}
+}
+
+// result keeps a refusal as not run from hiding an earlier attempt that ran.
+func (s *search) result(err error) error {
+	if err != nil && s.ranError != nil && bronzerill.KindOf(err).Answer().Run == bronzerill.RunNot {
+		return s.ranError
+	}
+	return err
+}
+
+func (s *search) plan(key uint64) (Plan, error) {
+	now := s.cfg.Clock()
+	view := s.cfg.Fleet.View()
+	if !view.HasLease(now) {
+		return Plan{}, bronzerill.Errorf(bronzerill.KindLeaseLapsed, "this entry has lost touch with control")
+	}
+	planner := Planner{Ring: s.cfg.Fleet.Ring(s.q.Policy.Pool), Config: view.Config, Backoffs: s.backoffs}
+	plan := planner.Plan(now, key, s.q.Preferred, s.q.Policy.SpillHops)
+	if len(plan.Servers) == 0 && plan.Wait.IsZero() && s.lastError == nil {
+		s.lastError = bronzerill.Errorf(bronzerill.KindNoServer, "no server of %s takes work", s.q.Policy.Pool)
+	}
+	return plan, nil
+}
+
+// round asks the candidates one after the other. done means that err is the
+// request's result.
+func (s *search) round(ctx context.Context, plan Plan) (done bool, err error) {
+	for _, server := range plan.Servers {
+		err := s.attempt(ctx, server)
+		if err == nil {
+			s.backoffs.Served(server.Name)
+			return true, nil
+		}
+		s.lastError = err
+		if !s.mayGoOn(ctx, server, err) {
+			return true, err
+		}
+	}
+	return false, nil
+}
+
+func (s *search) attempt(ctx context.Context, server control.Server) error {
+	s.attempts++
+	o := s.q.Open
+	o.ID.Attempt = strconv.Itoa(s.attempts)
+	o.Server = server.Name
+	o.Generation = server.Generation
+	if deadline, ok := ctx.Deadline(); ok {
+		o.Timeout = deadline.Sub(s.cfg.Clock())
+	}
+	err := s.cfg.Client.Exchange(ctx, server.Addr, o, s.out)
+	if err != nil {
+		s.cfg.Log.Debug("attempt failed", "request", o.ID.Request, "attempt", o.ID.Attempt, "server", server.Name, "kind", bronzerill.KindOf(err).String())
+	}
+	if bronzerill.KindOf(err) == bronzerill.KindAgentGone && o.Print != "" {
+		s.reportGone(server, o.Print)
+	}
+	return err
+}
+
+// reportGone makes the request a suspect, and holds its answer until every
+// agent knows: the agent itself can't tell any more.
+func (s *search) reportGone(server control.Server, print string) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
+	defer cancel()
+	id := strconv.FormatUint(server.Generation, 10) + "/gone"
+	crash := state.Crash{Pool: server.Pool, Agent: server.Name, ID: id, Prints: []string{print}}
+	if err := s.cfg.Crashes.Crash(ctx, crash); err != nil {
+		s.cfg.Log.Warn("lost agent not reported", "server", server.Name, "error", err.Error())
+	}
+}
+
+// mayGoOn decides whether another server may be asked after an error.
+func (s *search) mayGoOn(ctx context.Context, server control.Server, err error) bool {
+	kind := bronzerill.KindOf(err)
+	now := s.cfg.Clock()
+	if ctx.Err() != nil || s.out.headed {
+		return false
+	}
+	if isLoadRefusal(kind) {
+		s.backoffs.Refused(now, server.Name)
+		metrics.Spilled(kind)
+		return true
+	}
+	switch {
+	case isClosed(kind):
+		s.backoffs.Failed(now, server.Name)
+		metrics.Spilled(kind)
+		return true
+	case kind.Answer().Run == bronzerill.RunNot && kind.Answer().Retry == bronzerill.RetryElsewhere:
+		s.backoffs.Failed(now, server.Name)
+	case s.q.Repeatable && s.ranError == nil && (kind == bronzerill.KindCrossed || kind == bronzerill.KindTruncated):
+		s.ranError = err
+	default:
+		return false
+	}
+	if !s.budget.Take(now) {
+		metrics.Refused(bronzerill.KindRetryBudget)
+		return false
+	}
+	metrics.Retried(kind)
+	return true
+}
+
+// pause waits until a server may be asked again, within the policy's patience.
+func (s *search) pause(ctx context.Context, until time.Time) error {
+	now := s.cfg.Clock()
+	if until.IsZero() {
+		until = now.Add(fullPause)
+	}
+	if until.After(s.patience) {
+		return s.giveUp()
+	}
+	if s.waiting.Add(1) > maxWaiting {
+		s.waiting.Add(-1)
+		return bronzerill.Errorf(bronzerill.KindTableFull, "%d requests wait for a slot", maxWaiting)
+	}
+	defer s.waiting.Add(-1)
+	timer := time.NewTimer(until.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return s.giveUp()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// giveUp returns the last refusal: nothing ran, or the search would have ended.
+func (s *search) giveUp() error {
+	if s.lastError != nil {
+		return s.lastError
+	}
+	return bronzerill.Errorf(bronzerill.KindOverloaded, "no server of %s had room in time", s.q.Policy.Pool)
+}
--- /dev/null
+++ b/internal/entry/agent/plan.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"time"
+
+	"bronzerill"
+	"bronzerill/internal/wire/control"
+)
+
+// choicesPerHop bounds how far down the order of choices one round looks.
+const choicesPerHop = 8
+
+// Plan is one round of candidates for a request: at most hops servers, the
+// first choice first.
+type Plan struct {
+	// Servers are distinct, and may take new work as far as the entry knows.
+	Servers []control.Server
+	// Wait is when the first server that was left out for its backoff may be
+	// asked again; zero when there was none.
+	Wait time.Time
+}
+
+// Planner makes plans over one immutable view of the servers.
+type Planner struct {
+	Ring     *Ring
+	Config   *bronzerill.Config
+	Backoffs *Backoffs
+}
+
+// Plan returns the candidates for a key. preferred names a server that is asked
+// first if it may take work; it may be empty.
+func (p Planner) Plan(now time.Time, key uint64, preferred string, hops int) Plan {
+	var plan Plan
+	if p.Ring.Len() == 0 {
+		return plan
+	}
+	if at, ok := p.Ring.Find(preferred); ok {
+		p.consider(now, &plan, p.Ring.Server(at))
+	}
+	hops = min(hops, p.Ring.Len())
+	for nth := 0; nth < hops*choicesPerHop && len(plan.Servers) < hops; nth++ {
+		p.consider(now, &plan, p.Ring.Server(p.Ring.Choose(key, nth)))
+	}
+	return plan
+}
+
+func (p Planner) consider(now time.Time, plan *Plan, s control.Server) {
+	zone, _ := p.Config.Zone(s.Zone)
+	if !s.State.TakesWork() || zone.Out {
+		return
+	}
+	for _, chosen := range plan.Servers {
+		if chosen.Name == s.Name {
+			return
+		}
+	}
+	if until := p.Backoffs.Until(s.Name); now.Before(until) {
+		if plan.Wait.IsZero() || until.Before(plan.Wait) {
+			plan.Wait = until
+		}
+		return
+	}
+	plan.Servers = append(plan.Servers, s)
+}
--- /dev/null
+++ b/internal/entry/caller/server.go
@@ -0,0 +1,282 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"bronzerill"
+	"bronzerill/internal/entry/agent"
+	"bronzerill/internal/operator/metrics"
+	"bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/exchange"
+)
+
+// Paths of the caller's protocol.
+const (
+	PathChat     = "/v1/chat/completions"
+	PathServices = "/v1/services/"
+)
+
+// Forwarder runs a request on a server of its policy's pool.
+type Forwarder interface {
+	Do(ctx context.Context, q agent.Request, out agent.Output) error
+}
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Forwarder Forwarder
+	View      func() *control.View
+	Clock     func() time.Time
+	Log       hclog.Logger
+	// Secret signs the hints that callers carry.
+	Secret string
+}
+
+// Server is the HTTP handler for callers.
+type Server struct {
+	cfg   ServerConfig
+	hints hints
+}
+
+// NewServer returns a server.
+func NewServer(cfg ServerConfig) *Server {
+	return &Server{cfg: cfg, hints: hints{secret: []byte(cfg.Secret)}}
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathChat, s.serve(s.chatRequest))
+	mux.HandleFunc(PathServices+"{policy}/{path...}", s.serve(s.serviceRequest))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, "", bronzerill.Errorf(bronzerill.KindUnknownPool, "no such path: %s %s", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+// parser turns a caller's request into one for the forwarder.
+type parser func(c *bronzerill.Config, r *http.Request, customer bronzerill.Customer, body []byte) (agent.Request, error)
+
+func (s *Server) serve(parse parser) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := uuid.NewString()
+		w.Header().Set(HeaderRequest, id)
+		metrics.Count(metrics.EventRequest)
+		q, timeout, err := s.prepare(w, r, id, parse)
+		if err != nil {
+			s.refuse(w, id, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), timeout)
+		defer cancel()
+		s.run(ctx, w, id, q)
+	}
+}
+
+func (s *Server) prepare(w http.ResponseWriter, r *http.Request, id string, parse parser) (agent.Request, time.Duration, error) {
+	view := s.cfg.View()
+	if !view.HasLease(s.cfg.Clock()) {
+		return agent.Request{}, 0, bronzerill.Errorf(bronzerill.KindLeaseLapsed, "this entry has lost touch with control")
+	}
+	customer, err := authenticate(view.Config, r)
+	if err != nil {
+		return agent.Request{}, 0, err
+	}
+	timeout, err := parseTimeout(r)
+	if err != nil {
+		return agent.Request{}, 0, err
+	}
+	priority, err := parsePriority(r)
+	if err != nil {
+		return agent.Request{}, 0, err
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		return agent.Request{}, 0, err
+	}
+	q, err := parse(view.Config, r, customer, body)
+	if err != nil {
+		return agent.Request{}, 0, err
+	}
+	q.Open.ID.Request = id
+	q.Open.Customer = customer.Name
+	q.Open.Weight = customer.Weight
+	q.Open.Pool = q.Policy.Pool
+	q.Open.Method = r.Method
+	q.Open.ContentType = r.Header.Get("Content-Type")
+	q.Open.Priority = priority
+	q.Open.Body = body
+	return q, timeout, nil
+}
+
+func (s *Server) chatRequest(c *bronzerill.Config, r *http.Request, customer bronzerill.Customer, body []byte) (agent.Request, error) {
+	parsed, err := parseChat(body)
+	if err != nil {
+		return agent.Request{}, err
+	}
+	policy, err := findPolicy(c, parsed.Model, bronzerill.PoolEngine)
+	if err != nil {
+		return agent.Request{}, err
+	}
+	chat := r.Header.Get(HeaderChat)
+	if chat == "" {
+		chat = parsed.CacheKey
+	}
+	if len(chat) > maxChatBytes {
+		return agent.Request{}, bronzerill.Errorf(bronzerill.KindBadRequest, "chat id is over %d bytes", maxChatBytes)
+	}
+	q := agent.Request{Policy: policy, Repeatable: true}
+	q.Preferred = s.hints.open(customer.Name, chat, r.Header.Get(HeaderHint))
+	q.Open = exchange.Open{Path: PathChat, Chat: chat, Print: fingerprint(customer.Name, PathChat, body)}
+	return q, nil
+}
+
+func (s *Server) serviceRequest(c *bronzerill.Config, r *http.Request, _ bronzerill.Customer, _ []byte) (agent.Request, error) {
+	policy, err := findPolicy(c, r.PathValue("policy"), bronzerill.PoolService)
+	if err != nil {
+		return agent.Request{}, err
+	}
+	pool, _ := c.Pool(policy.Pool)
+	path := "/" + r.PathValue("path")
+	key, err := parseKey(s.cfg.Clock(), r)
+	if err != nil {
+		return agent.Request{}, err
+	}
+	repeatable := pool.IsRepeatable(path)
+	if !repeatable && key == "" {
+		return agent.Request{}, bronzerill.Errorf(bronzerill.KindKeyRequired, "%s needs the header %s", path, HeaderKey)
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	q := agent.Request{Policy: policy, Repeatable: repeatable}
+	q.Open = exchange.Open{Path: path, Key: key, Print: ""}
+	if key != "" {
+		// The key spreads calls over the pool and brings resends together.
+		q.Open.Chat = key
+	}
+	return q, nil
+}
+
+func findPolicy(c *bronzerill.Config, name string, kind bronzerill.PoolKind) (bronzerill.Policy, error) {
+	policy, ok := c.Policy(name)
+	if !ok {
+		return policy, bronzerill.Errorf(bronzerill.KindUnknownPool, "no routing policy %q", name)
+	}
+	if pool, ok := c.Pool(policy.Pool); !ok || pool.Kind != kind {
+		return policy, bronzerill.Errorf(bronzerill.KindUnknownPool, "routing policy %q leads to no %s pool", name, kind)
+	}
+	return policy, nil
+}
+
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, id string, q agent.Request) {
+	out := &output{writer: w, controller: http.NewResponseController(w), clock: s.cfg.Clock, startedAt: s.cfg.Clock()}
+	out.hint = func(server string) string { return s.hints.sign(q.Open.Customer, q.Open.Chat, server) }
+	err := s.cfg.Forwarder.Do(ctx, q, out)
+	if err == nil {
+		metrics.Count(metrics.EventAnswer)
+		return
+	}
+	if !out.headed {
+		s.refuse(w, id, err)
+		return
+	}
+	metrics.Failed(bronzerill.KindOf(err))
+	s.cfg.Log.Warn("answer broken off", "request", id, "kind", bronzerill.KindOf(err).String(), "error", err.Error())
+	// The caller must see that the answer isn't whole.
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) refuse(w http.ResponseWriter, id string, err error) {
+	kind := bronzerill.KindOf(err)
+	metrics.Refused(kind)
+	s.cfg.Log.Info("refused", "request", id, "kind", kind.String(), "error", err.Error())
+	writeError(w, id, err)
+}
+
+// output writes an answer to the caller.
+type output struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	clock      func() time.Time
+	hint       func(server string) string
+	headed     bool
+	startedAt  time.Time
+	lastAt     time.Time
+}
+
+var _ agent.Output = (*output)(nil)
+
+// Head writes status and headers.
+func (o *output) Head(h *exchange.Head) error {
+	o.headed = true
+	header := o.writer.Header()
+	if h.ContentType != "" {
+		header.Set("Content-Type", h.ContentType)
+	}
+	if h.Warm {
+		header.Set(HeaderWarm, strconv.FormatBool(true))
+	}
+	if h.Replayed {
+		header.Set(HeaderReplayed, strconv.FormatBool(true))
+	}
+	if h.Server != "" {
+		header.Set(HeaderHint, o.hint(h.Server))
+	}
+	o.writer.WriteHeader(h.Status)
+	return nil
+}
+
+// Data writes and flushes a part of the answer.
+func (o *output) Data(p []byte) error {
+	now := o.clock()
+	if o.lastAt.IsZero() {
+		metrics.FirstToken.Record(now.Sub(o.startedAt))
+	} else {
+		metrics.BetweenTokens.Record(now.Sub(o.lastAt))
+	}
+	o.lastAt = now
+	if _, err := o.writer.Write(p); err != nil {
+		return errors.Wrap(err, "write to caller")
+	}
+	return errors.Wrap(o.controller.Flush(), "flush to caller")
+}
+
+// errorBody is the JSON form of an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+	Run     string `json:"run"`
+	Retry   string `json:"retry"`
+	Request string `json:"request,omitempty"`
+}
+
+// writeError answers with an error of the closed list.
+func writeError(w http.ResponseWriter, id string, err error) {
+	kind := bronzerill.KindOf(err)
+	answer := kind.Answer()
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderKind, answer.Name)
+	header.Set(HeaderRun, answer.Run.String())
+	header.Set(HeaderRetry, answer.Retry.String())
+	if answer.Retry == bronzerill.RetryLater || answer.Retry == bronzerill.RetryElsewhere {
+		header.Set("Retry-After", "1")
+	}
+	w.WriteHeader(answer.Status)
+	message := strings.TrimPrefix(err.Error(), answer.Name+": ")
+	// The caller may have gone, which changes nothing here.
+	_ = json.NewEncoder(w).Encode(errorBody{errorDetail{answer.Name, message, answer.Run.String(), answer.Retry.String(), id}})
+}
--- /dev/null
+++ b/internal/operator/command/client.go
@@ -0,0 +1,120 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"bronzerill"
+	"bronzerill/internal/control/operator"
+	"bronzerill/internal/settings/file"
+)
+
+// Limits of calls to the operator ports.
+const (
+	callTimeout   = 3 * time.Second
+	totalTimeout  = 15 * time.Second
+	callPause     = 200 * time.Millisecond
+	maxReplyBytes = 64 << 20
+)
+
+func operatorFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringSliceFlag{Name: "operator", Usage: "operator `ADDRESS` of a control replica, repeated", Required: true},
+		&cli.StringFlag{Name: "secret-file", Usage: "`FILE` with the operators' secret", Required: true},
+	}, more...)
+}
+
+// client calls the operator port of the leading control replica.
+type client struct {
+	addrs  []string
+	secret string
+	http   *http.Client
+}
+
+func newClient(c *cli.Command) (*client, error) {
+	secret, err := file.ReadSecret(c.String("secret-file"))
+	if err != nil {
+		return nil, settingsError{err}
+	}
+	return &client{addrs: c.StringSlice("operator"), secret: secret, http: &http.Client{Timeout: callTimeout}}, nil
+}
+
+// call sends the request to one replica after the other until the leader
+// answers. Every function of the operators is safe to repeat.
+func (cl *client) call(ctx context.Context, method, path string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
+	defer cancel()
+	var last error
+	for n := 0; ctx.Err() == nil; n++ {
+		last = cl.try(ctx, cl.addrs[n%len(cl.addrs)], method, path, body, reply)
+		if !isElsewhere(last) {
+			return last
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(callPause):
+		}
+	}
+	return bronzerill.Errorf(bronzerill.KindNoQuorum, "no control replica led within %s: %v", totalTimeout, last)
+}
+
+// errUnreachable means that one replica gave no answer.
+var errUnreachable = errors.New("replica gave no answer")
+
+func isElsewhere(err error) bool {
+	kind := bronzerill.KindOf(err)
+	return errors.Is(err, errUnreachable) || kind == bronzerill.KindNotLeader || kind == bronzerill.KindNoQuorum
+}
+
+func (cl *client) try(ctx context.Context, addr, method, path string, body, reply any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(data))
+	if err != nil {
+		return settingsError{errors.Wrap(err, "--operator")}
+	}
+	request.Header.Set("Authorization", "Bearer "+cl.secret)
+	response, err := cl.http.Do(request)
+	if err != nil {
+		return errors.Wrap(errUnreachable, err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return errors.Wrap(errUnreachable, err.Error())
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return answerError(response.Status, answer)
+	}
+	return errors.Wrap(json.Unmarshal(answer, reply), "parse answer")
+}
+
+func answerError(status string, answer []byte) error {
+	var reply operator.Reply
+	if err := json.Unmarshal(answer, &reply); err != nil || reply.Error == nil {
+		return settingsError{errors.Errorf("operator port answers %s: %s", status, strings.TrimSpace(string(answer)))}
+	}
+	kind, _ := bronzerill.GetKind(reply.Error.Kind)
+	detail := strings.TrimPrefix(reply.Error.Detail, reply.Error.Kind+": ")
+	if len(reply.Error.Faults) > 0 {
+		detail += ":\n  " + strings.Join(reply.Error.Faults, "\n  ")
+	}
+	return bronzerill.Errorf(kind, "%s", detail)
+}
+
+// printJSON writes a value for people and programs.
+func printJSON(c *cli.Command, value any) error {
+	encoder := json.NewEncoder(c.Root().Writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- /dev/null
+++ b/internal/operator/command/fleet.go
@@ -0,0 +1,188 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"bronzerill"
+	"bronzerill/internal/control/holder"
+	"bronzerill/internal/control/operator"
+	"bronzerill/internal/control/state"
+)
+
+// repairTimeout bounds the wait until a replacement has caught up.
+const repairTimeout = 2 * time.Minute
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "report",
+		Usage: "print the service report: capacity that may be promised, and promises at risk",
+		Flags: operatorFlags(
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+			&cli.Uint64Flag{Name: "number", Usage: "report `NUMBER`; by default the last one"},
+		),
+		Action: printReport,
+	}
+}
+
+func printReport(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	path := "/v1/report"
+	if number := c.Uint64("number"); number > 0 {
+		path = fmt.Sprintf("%s?number=%d", path, number)
+	}
+	var report bronzerill.Report
+	if err := cl.call(ctx, http.MethodGet, path, nil, &report); err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(c, report)
+	}
+	table := tabwriter.NewWriter(c.Root().Writer, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintf(table, "report %d at revision %d, %s\n", report.Number, report.Revision, report.MadeAt.Format(time.RFC3339))
+	_, _ = fmt.Fprintln(table, "POOL\tSERVERS\tUSABLE\tDEPENDABLE\tPROMISED\tMAY BE PROMISED\tAT RISK\tRUNNING")
+	for _, p := range report.Pools {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Pool, p.Servers, p.Usable, p.Dependable, p.Promised, p.Free, p.AtRisk, p.Running)
+	}
+	return table.Flush()
+}
+
+func promiseCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "promise",
+		Usage: "record capacity that was promised; 0 slots withdraw it",
+		Flags: operatorFlags(
+			&cli.StringFlag{Name: "id", Required: true, Usage: "`ID` of the promise"},
+			&cli.StringFlag{Name: "pool", Required: true, Usage: "serving `POOL`"},
+			&cli.IntFlag{Name: "slots", Required: true, Usage: "`SLOTS` promised"},
+			&cli.DurationFlag{Name: "for", Value: 24 * time.Hour, Usage: "how long the promise holds"},
+		),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cl, err := newClient(c)
+			if err != nil {
+				return err
+			}
+			p := state.Promise{ID: c.String("id"), Pool: c.String("pool"), Slots: c.Int("slots"), Until: time.Now().Add(c.Duration("for"))}
+			return cl.call(ctx, http.MethodPost, "/v1/promises", p, &operator.Reply{})
+		},
+	}
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "print what each control replica sees of the fleet",
+		Flags: operatorFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cl, err := newClient(c)
+			if err != nil {
+				return err
+			}
+			return printStatus(ctx, c, cl)
+		},
+	}
+}
+
+// replicaStatus is one replica's answer to status.
+type replicaStatus struct {
+	Operator string           `json:"operator"`
+	Overview *holder.Overview `json:"overview,omitempty"`
+	Error    string           `json:"error,omitempty"`
+}
+
+func printStatus(ctx context.Context, c *cli.Command, cl *client) error {
+	var list []replicaStatus
+	for _, addr := range cl.addrs {
+		status := replicaStatus{Operator: addr, Overview: &holder.Overview{}}
+		if err := cl.try(ctx, addr, http.MethodGet, "/v1/status", nil, status.Overview); err != nil {
+			status.Overview = nil
+			status.Error = err.Error()
+		}
+		list = append(list, status)
+	}
+	return printJSON(c, list)
+}
+
+func repairCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "repair",
+		Usage: "replace a lost control replica, and wait until the replacement has caught up",
+		Flags: operatorFlags(
+			&cli.StringFlag{Name: "lost", Required: true, Usage: "`NAME` of the lost replica"},
+			&cli.StringFlag{Name: "replacement", Required: true, Usage: "`NAME` that init --join printed"},
+			&cli.StringFlag{Name: "addr", Required: true, Usage: "`ADDRESS` of the replacement's control.listen"},
+		),
+		Action: runRepair,
+	}
+}
+
+func runRepair(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	q := operator.RepairRequest{Lost: c.String("lost"), Replacement: c.String("replacement"), Addr: c.String("addr")}
+	if err := cl.call(ctx, http.MethodPost, "/v1/repair", q, &operator.Reply{}); err != nil {
+		return err
+	}
+	for deadline := time.Now().Add(repairTimeout); time.Now().Before(deadline); time.Sleep(callPause) {
+		if repaired(ctx, cl, q) {
+			_, err := fmt.Fprintf(c.Root().Writer, "%s has replaced %s\n", q.Replacement, q.Lost)
+			return err
+		}
+	}
+	return errors.Errorf("%s has not caught up after %s; it goes on, see status", q.Replacement, repairTimeout)
+}
+
+// repaired asks every replica, since only the leader's word counts.
+func repaired(ctx context.Context, cl *client, q operator.RepairRequest) bool {
+	for _, addr := range cl.addrs {
+		var o holder.Overview
+		if cl.try(ctx, addr, http.MethodGet, "/v1/status", nil, &o) != nil || !o.Replica.Lease {
+			continue
+		}
+		_, lostPresent := o.Replica.Members.Get(q.Lost)
+		return o.Replica.Members.IsVoter(q.Replacement) && !lostPresent
+	}
+	return false
+}
+
+func quarantineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "quarantine",
+		Usage: "list and release requests that crashed backend servers",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list suspects and quarantined requests", Flags: operatorFlags(), Action: listSuspects},
+			{Name: "release", Usage: "let a request run again", ArgsUsage: "FINGERPRINT", Flags: operatorFlags(), Action: releaseSuspect},
+		},
+	}
+}
+
+func listSuspects(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	var suspects []bronzerill.Suspect
+	if err := cl.call(ctx, http.MethodGet, "/v1/quarantine", nil, &suspects); err != nil {
+		return err
+	}
+	return printJSON(c, suspects)
+}
+
+func releaseSuspect(ctx context.Context, c *cli.Command) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	return cl.call(ctx, http.MethodDelete, "/v1/quarantine/"+c.Args().First(), nil, &operator.Reply{})
+}
--- /dev/null
+++ b/internal/run/control/role.go
@@ -0,0 +1,137 @@
+// Package control assembles the control role.
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"bronzerill/internal/control/holder"
+	"bronzerill/internal/control/operator"
+	"bronzerill/internal/control/replica"
+	"bronzerill/internal/control/state"
+	"bronzerill/internal/platform/list"
+	"bronzerill/internal/settings/file"
+	wire "bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/netrpc"
+)
+
+// Timing of the hand-over before a stop.
+const (
+	transferTimeout = 2 * time.Second
+	transferPause   = 20 * time.Millisecond
+)
+
+// Config configures the role.
+type Config struct {
+	Settings file.Settings
+	Secret   string
+	Log      hclog.Logger
+}
+
+// Role is a running control replica.
+type Role struct {
+	node *replica.Node
+	api  *operator.API
+}
+
+// Start opens the data folder and joins the group.
+func Start(ctx context.Context, group *errgroup.Group, cfg Config) (*Role, error) {
+	settings := *cfg.Settings.Replica
+	store, err := replica.OpenStore(settings.DataFolder)
+	if err != nil {
+		return nil, errors.Wrapf(err, "control.data-folder %s", settings.DataFolder)
+	}
+	listener, err := net.Listen("tcp", settings.Listen)
+	if err != nil {
+		_ = store.Close()
+		return nil, errors.Wrap(err, "control.listen")
+	}
+	secret := netrpc.Secret(cfg.Secret)
+	machine := state.NewMachine()
+	node, err := replica.NewNode(replica.NodeConfig{
+		Store:     store,
+		Machine:   machine,
+		Transport: replica.NewPeers(ctx, group, secret, cfg.Log),
+		Log:       cfg.Log,
+		Clock:     time.Now,
+		Seed:      xxhash.Sum64String(cfg.Settings.Name),
+		Addr:      settings.Listen,
+	})
+	if err != nil {
+		_ = store.Close()
+		return nil, err
+	}
+	service := newService(settings, node, machine, cfg.Log)
+	rpc := netrpc.NewServer(secret, cfg.Log)
+	if err := rpc.Register(replica.Service, replica.NewRPC(node)); err != nil {
+		return nil, err
+	}
+	if err := rpc.Register(wire.Service, holder.NewRPC(service)); err != nil {
+		return nil, err
+	}
+	group.Go(func() error {
+		err := node.Run(ctx)
+		return first(err, store.Close())
+	})
+	group.Go(func() error { return rpc.Serve(ctx, listener) })
+	group.Go(func() error { return service.Run(ctx) })
+	group.Go(func() error { return service.RunList(ctx) })
+	api := operator.NewAPI(operator.Config{Control: service, Members: node, Machine: machine, Clock: time.Now})
+	return &Role{node: node, api: api}, nil
+}
+
+func first(err, second error) error {
+	if err != nil {
+		return err
+	}
+	return second
+}
+
+func newService(settings file.Replica, node *replica.Node, machine *state.Machine, log hclog.Logger) *holder.Service {
+	var source list.Source
+	if settings.InstanceList != "" {
+		source = list.NewSource(settings.InstanceList)
+	}
+	return holder.NewService(holder.ServiceConfig{
+		Group:   node,
+		Machine: machine,
+		List:    source,
+		Clock:   time.Now,
+		Log:     log,
+		LeaderAddr: func(name string) string {
+			member, _ := node.Status(time.Now()).Members.Get(name)
+			return member.Addr
+		},
+	})
+}
+
+// API returns the handler of the operators' functions.
+func (r *Role) API() http.Handler { return r.api.Handler() }
+
+// Ready reports whether the group has a leader.
+func (r *Role) Ready() bool { return r.node.Status(time.Now()).Leader != "" }
+
+// Drain hands over the lead before the process stops.
+func (r *Role) Drain(ctx context.Context) error {
+	if !r.node.Status(time.Now()).IsLeader {
+		return nil
+	}
+	r.node.TransferLeadership()
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	for r.node.Status(time.Now()).IsLeader {
+		select {
+		case <-ctx.Done():
+			return errors.New("no other replica took over the lead in time")
+		case <-time.After(transferPause):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/run/process/process.go
@@ -0,0 +1,178 @@
+// Package process runs the roles of one settings file until the platform stops
+// the process.
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"bronzerill/internal/operator/server"
+	"bronzerill/internal/run/agent"
+	"bronzerill/internal/run/control"
+	"bronzerill/internal/run/entry"
+	"bronzerill/internal/settings/file"
+	wire "bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/netrpc"
+)
+
+// readHeaderTimeout bounds the wait for a request's headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Role is one running role.
+type Role interface {
+	// Ready reports whether the role takes new work.
+	Ready() bool
+	// Drain refuses new work and returns when the running work is done.
+	Drain(ctx context.Context) error
+}
+
+// Run runs the process. It returns after a graceful shutdown, or with the error
+// that stopped it.
+func Run(ctx context.Context, s file.Settings, log hclog.Logger) error {
+	secret, err := file.ReadSecret(s.SecretFile)
+	if err != nil {
+		return err
+	}
+	stop, cancelStop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer cancelStop()
+	work, cancelWork := context.WithCancel(ctx)
+	defer cancelWork()
+	group, work := errgroup.WithContext(work)
+	p := &process{settings: s, secret: secret, log: log, group: group}
+	if err := p.start(work); err != nil {
+		cancelWork()
+		return firstError(err, group.Wait())
+	}
+	log.Info("started", "name", s.Name, "zone", s.Zone)
+	select {
+	case <-stop.Done():
+		log.Info("stopping", "name", s.Name)
+	case <-work.Done():
+	}
+	p.drain(work)
+	cancelWork()
+	err = group.Wait()
+	log.Info("stopped", "name", s.Name)
+	return err
+}
+
+func firstError(first, second error) error {
+	if first != nil {
+		return first
+	}
+	return second
+}
+
+// process holds what the roles of one process share.
+type process struct {
+	settings file.Settings
+	secret   string
+	log      hclog.Logger
+	group    *errgroup.Group
+	operator *server.Server
+	// roles are in the order in which they stop.
+	roles []Role
+}
+
+func (p *process) start(ctx context.Context) error {
+	client := p.client()
+	if p.settings.Entry != nil {
+		role, err := entry.Start(ctx, p.group, entry.Config{Settings: p.settings, Secret: p.secret, Client: client, Log: p.log.Named("entry")})
+		if err != nil {
+			return err
+		}
+		p.roles = append(p.roles, role)
+	}
+	if p.settings.Agent != nil {
+		role, err := agent.Start(ctx, p.group, agent.Config{Settings: p.settings, Secret: p.secret, Client: client, Log: p.log.Named("agent")})
+		if err != nil {
+			return err
+		}
+		p.roles = append(p.roles, role)
+	}
+	var api http.Handler
+	if p.settings.Replica != nil {
+		role, err := control.Start(ctx, p.group, control.Config{Settings: p.settings, Secret: p.secret, Log: p.log.Named("control")})
+		if err != nil {
+			return err
+		}
+		p.roles = append(p.roles, role)
+		api = role.API()
+	}
+	return p.startOperator(ctx, api)
+}
+
+func (p *process) client() *wire.Client {
+	if len(p.settings.Control) == 0 {
+		return nil
+	}
+	return wire.NewClient(wire.ClientConfig{Addrs: p.settings.Control, Secret: netrpc.Secret(p.secret)})
+}
+
+func (p *process) startOperator(ctx context.Context, api http.Handler) error {
+	if p.settings.Operator == nil {
+		return nil
+	}
+	secret, err := file.ReadSecret(p.settings.Operator.SecretFile)
+	if err != nil {
+		return err
+	}
+	p.operator, err = server.NewServer(server.Config{Secret: secret, Allow: p.settings.Operator.Allow, API: api})
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", p.settings.Operator.Listen)
+	if err != nil {
+		return errors.Wrap(err, "operator.listen")
+	}
+	web := &http.Server{Handler: p.operator.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	p.group.Go(func() error {
+		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "operator port")
+		}
+		return nil
+	})
+	p.group.Go(func() error {
+		<-ctx.Done()
+		return web.Close()
+	})
+	p.group.Go(func() error { return p.watchReady(ctx) })
+	return nil
+}
+
+// watchReady follows the roles' readiness.
+func (p *process) watchReady(ctx context.Context) error {
+	ticker := time.NewTicker(wire.AgentRenewal / 2)
+	defer ticker.Stop()
+	for {
+		ready := true
+		for _, role := range p.roles {
+			ready = ready && role.Ready()
+		}
+		p.operator.SetReady(ready)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// drain stops the roles one after the other, so that an entry's callers still
+// find the agent and the control role of the same process.
+func (p *process) drain(ctx context.Context) {
+	for _, role := range p.roles {
+		if err := role.Drain(ctx); err != nil {
+			p.log.Error("not drained", "error", err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/chat.go
@@ -0,0 +1,214 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// request is the part of a chat completion that the stand-in reads.
+type request struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	Messages  json.RawMessage `json:"messages"`
+	CacheKey  string          `json:"prompt_cache_key"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+// stream is one answer, made in full when the request comes and sent at the
+// pace of the engine.
+type stream struct {
+	chunks   []string
+	canceled atomic.Bool
+	cut      atomic.Bool
+}
+
+// Token returns the text of an answer's nth token; it depends on the whole
+// request, so a crossed answer shows.
+func Token(body []byte, n int) string {
+	return fmt.Sprintf("%08x-%d ", crc32.ChecksumIEEE(body), n)
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		return
+	}
+	var q request
+	if err := json.Unmarshal(body, &q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	tokens := e.cfg.Tokens
+	if q.MaxTokens > 0 {
+		tokens = q.MaxTokens
+	}
+	crash, hit, ok := e.begin(string(body), q.CacheKey)
+	defer e.end(crash)
+	if !ok || strings.Contains(string(body), MarkCrash) {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	if hit {
+		w.Header().Set("X-Cache", "hit")
+	}
+	s := newStream(id, body, tokens, hit)
+	e.mu.Lock()
+	e.streams.Add(id, s)
+	e.mu.Unlock()
+	e.wait(r.Context(), crash, hit)
+	if !q.Stream {
+		writeJSON(w, whole(id, body, tokens))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.send(r.Context(), crash, w, s, 0)
+}
+
+// begin counts a request in; ok is false when the engine falls over.
+func (e *Engine) begin(body, chat string) (crash chan struct{}, hit, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running++
+	e.peak = max(e.peak, e.running)
+	if len(e.runs) < maxStreams {
+		e.runs[body]++
+	}
+	if chat != "" {
+		_, hit = e.cache.Get(chat)
+		e.cache.Add(chat, true)
+	}
+	return e.crash, hit, e.running <= e.bearable()
+}
+
+// end counts a request out, unless its process is gone.
+func (e *Engine) end(crash chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crash == crash {
+		e.running--
+		e.answered++
+	}
+}
+
+func (e *Engine) wait(ctx context.Context, crash chan struct{}, hit bool) {
+	pause := e.cfg.FirstToken
+	if hit {
+		pause = e.cfg.CachedToken
+	}
+	sleep(ctx, crash, pause)
+}
+
+func sleep(ctx context.Context, crash chan struct{}, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-crash:
+		panic(http.ErrAbortHandler)
+	case <-timer.C:
+	}
+}
+
+func newStream(id string, body []byte, tokens int, hit bool) *stream {
+	text := string(body)
+	if strings.Contains(text, MarkCross) {
+		id = "another-request"
+	}
+	s := &stream{}
+	s.cut.Store(strings.Contains(text, MarkCut))
+	for n := range tokens {
+		s.chunks = append(s.chunks, event(map[string]any{
+			"id":      "chatcmpl-" + id,
+			"object":  "chat.completion.chunk",
+			"choices": []any{map[string]any{"index": 0, "delta": map[string]string{"content": Token(body, n)}}},
+		}))
+	}
+	cached := 0
+	if hit {
+		cached = 1
+	}
+	s.chunks = append(s.chunks, event(map[string]any{
+		"id":      "chatcmpl-" + id,
+		"object":  "chat.completion.chunk",
+		"choices": []any{},
+		"usage":   map[string]any{"prompt_tokens_details": map[string]int{"cached_tokens": cached}},
+	}))
+	if !strings.Contains(text, MarkEarlyEnd) {
+		s.chunks = append(s.chunks, "data: [DONE]\n\n")
+	}
+	return s
+}
+
+func event(value any) string {
+	// Every value is plain data, so encoding can't fail.
+	data, _ := json.Marshal(value)
+	return "data: " + string(data) + "\n\n"
+}
+
+func whole(id string, body []byte, tokens int) map[string]any {
+	var text strings.Builder
+	for n := range tokens {
+		text.WriteString(Token(body, n))
+	}
+	message := map[string]string{"role": "assistant", "content": text.String()}
+	return map[string]any{"id": "chatcmpl-" + id, "object": "chat.completion", "choices": []any{map[string]any{"index": 0, "message": message}}}
+}
+
+// send writes the stream from a byte offset on, at the engine's pace.
+func (e *Engine) send(ctx context.Context, crash chan struct{}, w http.ResponseWriter, s *stream, offset int) {
+	controller := http.NewResponseController(w)
+	at := 0
+	for n, c := range s.chunks {
+		start := max(0, offset-at)
+		at += len(c)
+		if start >= len(c) {
+			continue
+		}
+		if n == len(s.chunks)/2 && s.cut.Swap(false) {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, c[start:]); err != nil || controller.Flush() != nil {
+			return
+		}
+		if s.canceled.Load() || ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, crash, e.cfg.TokenInterval)
+	}
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	e.mu.Lock()
+	s, ok := e.streams.Get(r.PathValue("id"))
+	crash := e.crash
+	e.mu.Unlock()
+	if err != nil || !ok {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.send(r.Context(), crash, w, s, offset)
+}
+
+func (e *Engine) serveCancel(_ http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s, ok := e.streams.Get(r.PathValue("id"))
+	e.mu.Unlock()
+	if ok {
+		s.canceled.Store(true)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,297 @@
+// Package engine is a small stand-in for a model engine, for trials and tests.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Marks in a request's body that bring about faults.
+const (
+	// MarkCrash crashes the engine that runs the request.
+	MarkCrash = "crash-this-server"
+	// MarkCut cuts the stream once, in its middle.
+	MarkCut = "cut-this-stream"
+	// MarkCross answers with another request's id.
+	MarkCross = "cross-this-answer"
+	// MarkEarlyEnd ends the stream cleanly without its closing mark.
+	MarkEarlyEnd = "end-this-early"
+)
+
+const (
+	maxBodyBytes = 2 << 20
+	maxStreams   = 4096
+)
+
+// Config configures an Engine.
+type Config struct {
+	Listen string
+	// Slots is what a warm engine bears, ColdSlots a cold one; beyond it the
+	// engine falls over.
+	Slots     int
+	ColdSlots int
+	// WarmAfter is the number of answers that add one slot to a cold engine.
+	WarmAfter     int
+	Tokens        int
+	FirstToken    time.Duration
+	CachedToken   time.Duration
+	TokenInterval time.Duration
+	RestartDelay  time.Duration
+	LoadLag       time.Duration
+	CacheEntries  int
+	ChecksFencing bool
+}
+
+// Engine is one stand-in engine. A crash drops every connection, keeps the port
+// closed for RestartDelay and starts a cold process of a new generation.
+type Engine struct {
+	cfg Config
+	// addr is the real address, kept over crashes.
+	addr string
+
+	mu         sync.Mutex
+	generation int
+	running    int
+	answered   int
+	// peak is the highest load seen, per generation never reset.
+	peak    int
+	crashes int
+	runs    map[string]int
+	cache   *lru.Cache[string, bool]
+	streams *lru.Cache[string, *stream]
+	fencing uint64
+	orders  []string
+	load    report
+	loadAt  time.Time
+	crash   chan struct{}
+}
+
+// report is the published load.
+type report struct {
+	Generation string `json:"generation"`
+	Running    int    `json:"running"`
+	Slots      int    `json:"slots"`
+}
+
+// Stats is what tests read: the engine's own count of what it ran.
+type Stats struct {
+	Generation int            `json:"generation"`
+	Crashes    int            `json:"crashes"`
+	Peak       int            `json:"peak"`
+	Answered   int            `json:"answered"`
+	Runs       map[string]int `json:"runs"`
+	Orders     []string       `json:"orders"`
+}
+
+// New returns an engine that listens on its address.
+func New(cfg Config) (*Engine, net.Listener, error) {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "stand-in engine")
+	}
+	e := &Engine{cfg: cfg, addr: listener.Addr().String(), runs: make(map[string]int)}
+	e.reset()
+	return e, listener, nil
+}
+
+// Addr returns the engine's IP number and port.
+func (e *Engine) Addr() string { return e.addr }
+
+// reset starts a new process; the caller holds the lock or owns the engine.
+func (e *Engine) reset() {
+	e.generation++
+	e.running = 0
+	e.answered = 0
+	// Sizes are positive, so the errors can't occur.
+	e.cache, _ = lru.New[string, bool](max(1, e.cfg.CacheEntries))
+	e.streams, _ = lru.New[string, *stream](maxStreams)
+	e.crash = make(chan struct{})
+	e.loadAt = time.Time{}
+}
+
+// Run serves until ctx ends, starting anew after each crash.
+func (e *Engine) Run(ctx context.Context, listener net.Listener) error {
+	for {
+		crashed, err := e.serve(ctx, listener)
+		if !crashed {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(e.cfg.RestartDelay):
+		}
+		if listener, err = net.Listen("tcp", e.addr); err != nil {
+			return errors.Wrap(err, "stand-in engine starts anew")
+		}
+		e.mu.Lock()
+		e.reset()
+		e.mu.Unlock()
+	}
+}
+
+func (e *Engine) serve(ctx context.Context, listener net.Listener) (crashed bool, err error) {
+	e.mu.Lock()
+	crash := e.crash
+	e.mu.Unlock()
+	web := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: time.Second}
+	done := context.AfterFunc(ctx, func() { _ = web.Close() })
+	defer done()
+	var group errgroup.Group
+	stopped := make(chan struct{})
+	group.Go(func() error {
+		select {
+		case <-crash:
+			return web.Close()
+		case <-stopped:
+			return nil
+		}
+	})
+	err = web.Serve(listener)
+	close(stopped)
+	_ = group.Wait()
+	select {
+	case <-crash:
+		return true, nil
+	default:
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return false, nil
+	}
+	return false, err
+}
+
+// Handler returns the engine's HTTP handler.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	mux.HandleFunc("GET /v1/load", e.serveLoad)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("GET /v1/cache/{chat}", e.serveExport)
+	mux.HandleFunc("POST /v1/cache/{chat}", e.serveImport)
+	mux.HandleFunc("POST /fault/{name}", e.serveFault)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Stats()) })
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// Stats returns the engine's own counts.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make(map[string]int, len(e.runs))
+	for body, n := range e.runs {
+		runs[body] = n
+	}
+	return Stats{e.generation, e.crashes, e.peak, e.answered, runs, append([]string(nil), e.orders...)}
+}
+
+// bearable returns the load that the engine bears now.
+func (e *Engine) bearable() int {
+	if e.cfg.WarmAfter <= 0 {
+		return e.cfg.Slots
+	}
+	return min(e.cfg.Slots, e.cfg.ColdSlots+e.answered/e.cfg.WarmAfter)
+}
+
+// Crash drops every connection, as a killed process would.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.crash:
+	default:
+		e.crashes++
+		close(e.crash)
+	}
+}
+
+// TurnCold empties the cache and the warmth without a word.
+func (e *Engine) TurnCold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.Purge()
+	e.answered = 0
+}
+
+func (e *Engine) serveFault(w http.ResponseWriter, r *http.Request) {
+	switch r.PathValue("name") {
+	case "crash":
+		e.Crash()
+	case "cold":
+		e.TurnCold()
+	default:
+		http.Error(w, "unknown fault: want crash or cold", http.StatusBadRequest)
+	}
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	now := time.Now()
+	if e.loadAt.IsZero() || now.Sub(e.loadAt) >= e.cfg.LoadLag {
+		e.loadAt = now
+		e.load = report{strconv.Itoa(e.generation), e.running, e.bearable()}
+	}
+	load := e.load
+	e.mu.Unlock()
+	writeJSON(w, load)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Fencing uint64 `json:"fencing"`
+		Action  string `json:"action"`
+		Value   string `json:"value"`
+	}
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.ChecksFencing && order.Fencing < e.fencing {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	e.fencing = order.Fencing
+	e.orders = append(e.orders, strings.Join([]string{strconv.FormatUint(order.Fencing, 10), order.Action, order.Value}, " "))
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	_, ok := e.cache.Peek(r.PathValue("chat"))
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "not cached", http.StatusNotFound)
+		return
+	}
+	_, _ = io.WriteString(w, "kv:"+r.PathValue("chat"))
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil || string(data) != "kv:"+r.PathValue("chat") {
+		http.Error(w, "no cache of this chat", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.Add(r.PathValue("chat"), true)
+}
--- /dev/null
+++ b/internal/wire/control/keeper.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bronzerill"
+)
+
+// KeeperConfig configures a Keeper.
+type KeeperConfig struct {
+	Client  *Client
+	Holder  string
+	Renewal time.Duration
+	Clock   func() time.Time
+	Log     hclog.Logger
+	// Generation and Status are set by agents.
+	Generation func() uint64
+	Status     func(now time.Time) (Server, Load)
+	// Changed is called after every renewal that changed the view.
+	Changed func(v *View)
+}
+
+// Keeper renews the lease of one holder and publishes its view.
+type Keeper struct {
+	cfg  KeeperConfig
+	view atomic.Pointer[View]
+	// position and staged belong to the renewal loop.
+	serversTerm uint64
+	serversSeq  uint64
+	staged      map[string]Server
+}
+
+// NewKeeper returns a keeper without a lease.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	k := &Keeper{cfg: cfg}
+	k.view.Store(&View{Config: &bronzerill.Config{}})
+	return k
+}
+
+// View returns the present view.
+func (k *Keeper) View() *View { return k.view.Load() }
+
+// Run renews until ctx ends, then gives the lease back.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(k.cfg.Renewal)
+	defer ticker.Stop()
+	for {
+		if err := k.renew(ctx, false); err != nil {
+			k.cfg.Log.Warn("lease not renewed", "kind", bronzerill.KindOf(err).String(), "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			k.release()
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// release lets changes come into force without waiting for this holder.
+func (k *Keeper) release() {
+	old := *k.View()
+	old.LeaseUntil = time.Time{}
+	k.view.Store(&old)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := k.renew(ctx, true); err != nil {
+		k.cfg.Log.Debug("lease not released", "error", err.Error())
+	}
+}
+
+func (k *Keeper) renew(ctx context.Context, released bool) error {
+	ctx, cancel := context.WithTimeout(ctx, LeaseTerm)
+	defer cancel()
+	sentAt := k.cfg.Clock()
+	request := k.request(sentAt)
+	request.Released = released
+	// A retry inside Call leaves sentAt at the first try, which only makes the
+	// lease shorter.
+	reply, err := Call(ctx, k.cfg.Client, "Renew", request, func() *RenewReply { return &RenewReply{} })
+	if err != nil || released {
+		return err
+	}
+	before := k.View()
+	next := before.WithReply(sentAt, reply)
+	if reply.Servers != nil {
+		next = k.withServers(next, reply.Servers)
+	}
+	k.view.Store(next)
+	if k.cfg.Changed != nil {
+		k.cfg.Changed(next)
+	}
+	if next.Config.Revision() != before.Config.Revision() {
+		k.cfg.Log.Info("configuration taken", "revision", next.Config.Revision())
+	}
+	return nil
+}
+
+func (k *Keeper) request(now time.Time) *RenewRequest {
+	r := &RenewRequest{Holder: k.cfg.Holder, Revision: k.View().Config.Revision()}
+	if k.cfg.Status == nil {
+		r.WantServers = true
+		r.ServersTerm = k.serversTerm
+		r.ServersSeq = k.serversSeq
+		return r
+	}
+	server, load := k.cfg.Status(now)
+	r.Server = &server
+	r.Load = load
+	r.Generation = k.cfg.Generation()
+	return r
+}
+
+// withServers applies one page. A table that starts anew replaces the old one
+// only once it is whole.
+func (k *Keeper) withServers(v *View, d *ServersDelta) *View {
+	starting := d.Full && (k.staged == nil || d.Term != k.serversTerm)
+	if starting {
+		k.staged = make(map[string]Server)
+	}
+	base := k.staged
+	if base == nil {
+		base = maps.Clone(v.Servers)
+	}
+	if base == nil {
+		base = make(map[string]Server)
+	}
+	for _, s := range d.Servers {
+		base[s.Name] = s
+	}
+	for _, name := range d.Gone {
+		delete(base, name)
+	}
+	k.serversTerm = d.Term
+	k.serversSeq = d.Seq
+	if k.staged != nil && d.More {
+		return v
+	}
+	k.staged = nil
+	return v.WithServers(base)
+}
--- /dev/null
+++ b/internal/wire/control/ledger.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"bronzerill/internal/control/state"
+)
+
+// inForcePause is the pause between questions whether a revision is in force.
+const inForcePause = 100 * time.Millisecond
+
+func newAck() *AckReply { return &AckReply{} }
+
+// Claim asks for the right to send a call.
+func (c *Client) Claim(ctx context.Context, claim state.Claim) (state.Decision, state.Reply, error) {
+	r, err := Call(ctx, c, "Claim", &ClaimRequest{claim}, func() *ClaimReply { return &ClaimReply{} })
+	return r.Decision, r.Reply, err
+}
+
+// Finish records a call's answer.
+func (c *Client) Finish(ctx context.Context, f state.Finish) error {
+	_, err := Call(ctx, c, "Finish", &FinishRequest{f}, newAck)
+	return err
+}
+
+// Release gives a claim back.
+func (c *Client) Release(ctx context.Context, r state.Release) error {
+	_, err := Call(ctx, c, "Release", &ReleaseRequest{r}, newAck)
+	return err
+}
+
+// Doubt records that a call's answer was lost.
+func (c *Client) Doubt(ctx context.Context, d state.Doubt) error {
+	_, err := Call(ctx, c, "Doubt", &DoubtRequest{d}, newAck)
+	return err
+}
+
+// Register announces a new agent process and returns its generation.
+func (c *Client) Register(ctx context.Context, agent string) (uint64, error) {
+	r, err := Call(ctx, c, "Register", &RegisterRequest{agent}, func() *RegisterReply { return &RegisterReply{} })
+	return r.Generation, err
+}
+
+// Crash reports what ran when a server crashed, and returns once every holder
+// knows it.
+func (c *Client) Crash(ctx context.Context, crash state.Crash) error {
+	r, err := Call(ctx, c, "Crash", &CrashRequest{crash}, func() *RevisionReply { return &RevisionReply{} })
+	if err != nil {
+		return err
+	}
+	return c.awaitInForce(ctx, r.Revision)
+}
+
+func (c *Client) awaitInForce(ctx context.Context, revision uint64) error {
+	for {
+		r, err := Call(ctx, c, "InForce", &InForceRequest{revision}, func() *InForceReply { return &InForceReply{} })
+		if err != nil || r.InForce {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(inForcePause):
+		}
+	}
+}
+
+// StartTrial asks to run a suspect alone.
+func (c *Client) StartTrial(ctx context.Context, t state.Trial) error {
+	_, err := Call(ctx, c, "Trial", &TrialRequest{t}, newAck)
+	return err
+}
+
+// EndTrial reports what a trial showed.
+func (c *Client) EndTrial(ctx context.Context, v state.Verdict) error {
+	_, err := Call(ctx, c, "Verdict", &VerdictRequest{v}, newAck)
+	return err
+}
--- /dev/null
+++ b/internal/wire/control/view.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"time"
+
+	"bronzerill"
+)
+
+// View is the immutable state of a lease holder.
+type View struct {
+	Config *bronzerill.Config
+	// Servers is the table of backend servers, by name; entries only.
+	Servers map[string]Server
+	// ServersVersion differs whenever Servers does.
+	ServersVersion uint64
+	// Mean is the mean load of the agent's pool at MeanAt.
+	Mean    float64
+	MeanAt  time.Time
+	Leaving bool
+	// LeaseUntil counts from the sending of the last renewal, on the
+	// monotonic clock.
+	LeaseUntil time.Time
+}
+
+// HasLease reports whether the holder may take new work.
+func (v *View) HasLease(now time.Time) bool { return now.Before(v.LeaseUntil) }
+
+// WithReply returns the view after a renewal that was sent at the given time.
+func (v *View) WithReply(sentAt time.Time, r *RenewReply) *View {
+	next := *v
+	if r.Delta != nil {
+		next.Config, _ = v.Config.WithDelta(*r.Delta)
+	}
+	next.Mean = r.Mean
+	next.MeanAt = sentAt
+	next.Leaving = r.Leaving
+	if until := sentAt.Add(LeaseTerm); until.After(v.LeaseUntil) {
+		next.LeaseUntil = until
+	}
+	return &next
+}
+
+// WithServers returns the view with another table of servers.
+func (v *View) WithServers(servers map[string]Server) *View {
+	next := *v
+	next.Servers = servers
+	next.ServersVersion++
+	return &next
+}
--- /dev/null
+++ b/internal/wire/netrpc/client.go
@@ -0,0 +1,84 @@
+package netrpc
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const dialTimeout = time.Second
+
+// Client calls one address. It replaces a connection on which a call got no
+// answer in time, since the connection may have gone silent for good.
+type Client struct {
+	addr   string
+	secret Secret
+	mu     sync.Mutex
+	conn   *rpc.Client
+}
+
+// NewClient returns a client that connects at its first call.
+func NewClient(addr string, secret Secret) *Client {
+	return &Client{addr: addr, secret: secret}
+}
+
+// Call runs a method; ctx must carry a deadline.
+func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			c.drop(conn)
+		}
+		return errors.Wrap(call.Error, method)
+	case <-ctx.Done():
+		c.drop(conn)
+		return errors.Wrap(ctx.Err(), method)
+	}
+}
+
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		return c.conn, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", c.addr)
+	}
+	if err := c.secret.handshake(conn, "client", "server"); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrapf(err, "connect to %s", c.addr)
+	}
+	c.conn = rpc.NewClient(countedConn{conn})
+	return c.conn, nil
+}
+
+func (c *Client) drop(conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	_ = conn.Close()
+}
+
+// Close closes the connection, if there is one.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
--- /dev/null
+++ b/internal/wire/netrpc/conn.go
@@ -0,0 +1,31 @@
+package netrpc
+
+import (
+	"expvar"
+	"net"
+)
+
+// Bytes that own processes exchange over net/rpc, counted at the connection.
+var (
+	bytesRead    = expvar.NewInt("control-bytes-read")
+	bytesWritten = expvar.NewInt("control-bytes-written")
+)
+
+// Bytes returns the bytes read and written by this process so far.
+func Bytes() (read, written int64) { return bytesRead.Value(), bytesWritten.Value() }
+
+type countedConn struct {
+	net.Conn
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	bytesRead.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	bytesWritten.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/wire/netrpc/secret.go
@@ -0,0 +1,61 @@
+// Package netrpc carries net/rpc between the fleet's own processes, over
+// connections that prove a shared secret first and count their bytes.
+package netrpc
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Sizes and limits of the handshake.
+const (
+	nonceBytes       = 16
+	handshakeTimeout = 2 * time.Second
+)
+
+// Secret is the key that own processes share.
+type Secret []byte
+
+// proof binds the nonce to the side that answers it, so that an answer can't be
+// mirrored.
+func (s Secret) proof(side string, nonce []byte) []byte {
+	mac := hmac.New(sha256.New, s)
+	mac.Write([]byte(side))
+	mac.Write(nonce)
+	return mac.Sum(nil)
+}
+
+// handshake proves the secret to the peer and checks the peer's proof.
+func (s Secret) handshake(conn net.Conn, side, peer string) error {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return errors.Wrap(err, "set handshake deadline")
+	}
+	nonce := make([]byte, nonceBytes)
+	if _, err := rand.Read(nonce); err != nil {
+		return errors.Wrap(err, "read nonce")
+	}
+	if _, err := conn.Write(nonce); err != nil {
+		return errors.Wrap(err, "send nonce")
+	}
+	theirs := make([]byte, nonceBytes)
+	if _, err := io.ReadFull(conn, theirs); err != nil {
+		return errors.Wrap(err, "read peer's nonce")
+	}
+	if _, err := conn.Write(s.proof(side, theirs)); err != nil {
+		return errors.Wrap(err, "send proof")
+	}
+	answer := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(conn, answer); err != nil {
+		return errors.Wrap(err, "read peer's proof")
+	}
+	if !hmac.Equal(answer, s.proof(peer, nonce)) {
+		return errors.New("the peer doesn't know the shared secret")
+	}
+	return errors.Wrap(conn.SetDeadline(time.Time{}), "clear handshake deadline")
+}
--- a/kind.go
+++ b/kind.go
@@ -38,6 +38,7 @@
 	KindRetryBudget
 	KindAborted
 	KindServerFailed
+	KindAgentGone
 	KindTruncated
 	KindCrossed
 	KindTicketConflict
@@ -125,6 +126,7 @@
 	KindRetryBudget:    {"retry-budget", http.StatusServiceUnavailable, RunNot, RetryLater},
 	KindAborted:        {"aborted", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
 	KindServerFailed:   {"server-failed", http.StatusBadGateway, RunUnknown, RetryLater},
+	KindAgentGone:      {"agent-gone", http.StatusBadGateway, RunUnknown, RetryLater},
 	KindTruncated:      {"truncated", http.StatusBadGateway, RunUnknown, RetryLater},
 	KindCrossed:        {"crossed", http.StatusBadGateway, RunUnknown, RetryLater},
 	KindTicketConflict: {"ticket-conflict", http.StatusConflict, RunNot, RetryNever},
--- a/ticket.go
+++ b/ticket.go
@@ -48,6 +48,7 @@
 	size := len(t.Zones) + len(t.Pools) + len(t.Customers) + len(t.Policies) + len(t.Orders) + len(t.Removals)
 	v.check(size > 0, "ticket: touches nothing")
 	v.check(size <= maxTicketEntities, "ticket: touches %d entities, at most %d", size, maxTicketEntities)
+	v.check(len(t.Suspects) == 0, "suspects: no ticket writes them")
 	for _, z := range t.Zones {
 		v.name("zone", z.Name)
 	}
