--- a/config.go
+++ b/config.go
@@ -25,29 +25,29 @@
 
 // Removal records that an entity was removed.
 type Removal struct {
-	Versioned
-	Kind EntityKind `json:"kind" toml:"kind" msgpack:"k"`
-	Name string     `json:"name" toml:"name" msgpack:"n"`
+	Versioned `msgpack:",inline"`
+	Kind      EntityKind `json:"kind" toml:"kind" msgpack:"k"`
+	Name      string     `json:"name" toml:"name" msgpack:"n"`
 }
 
 // Delta carries the whole new state of every entity written after From, up to
 // and including To. A delta with Snapshot set carries the whole configuration.
 type Delta struct {
-	From     uint64 `json:"from" msgpack:"f"`
-	To       uint64 `json:"to" msgpack:"t"`
-	Snapshot bool   `json:"snapshot" msgpack:"s"`
-	Changes  `msgpack:"c"`
+	From     uint64 `json:"from" msgpack:"from"`
+	To       uint64 `json:"to" msgpack:"to"`
+	Snapshot bool   `json:"snapshot" msgpack:"snapshot"`
+	Changes  `msgpack:",inline"`
 }
 
 // Changes lists entities by table.
 type Changes struct {
-	Zones     []Zone     `json:"zones,omitempty" toml:"zone" msgpack:"z,omitempty"`
-	Pools     []Pool     `json:"pools,omitempty" toml:"pool" msgpack:"p,omitempty"`
-	Customers []Customer `json:"customers,omitempty" toml:"customer" msgpack:"c,omitempty"`
-	Policies  []Policy   `json:"policies,omitempty" toml:"policy" msgpack:"l,omitempty"`
-	Orders    []Order    `json:"orders,omitempty" toml:"order" msgpack:"o,omitempty"`
-	Suspects  []Suspect  `json:"suspects,omitempty" toml:"-" msgpack:"s,omitempty"`
-	Removals  []Removal  `json:"removals,omitempty" toml:"remove" msgpack:"r,omitempty"`
+	Zones     []Zone     `json:"zones,omitempty" toml:"zone" msgpack:"zones,omitempty"`
+	Pools     []Pool     `json:"pools,omitempty" toml:"pool" msgpack:"pools,omitempty"`
+	Customers []Customer `json:"customers,omitempty" toml:"customer" msgpack:"customers,omitempty"`
+	Policies  []Policy   `json:"policies,omitempty" toml:"policy" msgpack:"policies,omitempty"`
+	Orders    []Order    `json:"orders,omitempty" toml:"order" msgpack:"orders,omitempty"`
+	Suspects  []Suspect  `json:"suspects,omitempty" toml:"-" msgpack:"suspects,omitempty"`
+	Removals  []Removal  `json:"removals,omitempty" toml:"remove" msgpack:"removals,omitempty"`
 }
 
 // Config is an immutable configuration. The zero value is the empty
--- a/entity.go
+++ b/entity.go
@@ -7,8 +7,8 @@
 
 // Zone is a data centre.
 type Zone struct {
-	Versioned
-	Name string `json:"name" toml:"name" msgpack:"n"`
+	Versioned `msgpack:",inline"`
+	Name      string `json:"name" toml:"name" msgpack:"n"`
 	// Out means that the zone receives no new work.
 	Out bool `json:"out" toml:"out" msgpack:"o"`
 }
@@ -24,9 +24,9 @@
 
 // Pool is a serving pool: backend servers that can stand in for each other.
 type Pool struct {
-	Versioned
-	Name string   `json:"name" toml:"name" msgpack:"n"`
-	Kind PoolKind `json:"kind" toml:"kind" msgpack:"k"`
+	Versioned `msgpack:",inline"`
+	Name      string   `json:"name" toml:"name" msgpack:"n"`
+	Kind      PoolKind `json:"kind" toml:"kind" msgpack:"k"`
 	// LoadMultiple bounds a server's load as a multiple of the pool's mean;
 	// at least 1.
 	LoadMultiple float64 `json:"load-multiple" toml:"load-multiple" msgpack:"l"`
@@ -65,8 +65,8 @@
 
 // Customer is a tenant of the fleet.
 type Customer struct {
-	Versioned
-	Name string `json:"name" toml:"name" msgpack:"n"`
+	Versioned `msgpack:",inline"`
+	Name      string `json:"name" toml:"name" msgpack:"n"`
 	// KeyHash is the lower-case hexadecimal SHA-256 of the customer's API key.
 	KeyHash string `json:"key-hash" toml:"key-hash" msgpack:"h"`
 	// Weight is the customer's share of slots under pressure; at least 1.
@@ -75,9 +75,9 @@
 
 // Policy is a routing policy: it maps a model or service name to a pool.
 type Policy struct {
-	Versioned
-	Name string `json:"name" toml:"name" msgpack:"n"`
-	Pool string `json:"pool" toml:"pool" msgpack:"p"`
+	Versioned `msgpack:",inline"`
+	Name      string `json:"name" toml:"name" msgpack:"n"`
+	Pool      string `json:"pool" toml:"pool" msgpack:"p"`
 	// SpillHops is the most servers asked in one round; at least 1.
 	SpillHops int `json:"spill-hops" toml:"spill-hops" msgpack:"s"`
 	// PatienceMillis is how long an entry looks for a free slot.
@@ -92,7 +92,7 @@
 // Order is an instruction to one model engine. Its fencing number is the
 // revision of the ticket that carried it.
 type Order struct {
-	Versioned
+	Versioned `msgpack:",inline"`
 	// Name is the server the order is for; a later order replaces it.
 	Name   string `json:"server" toml:"server" msgpack:"n"`
 	Pool   string `json:"pool" toml:"pool" msgpack:"p"`
@@ -113,7 +113,7 @@
 
 // Suspect is the fingerprint of a request that may crash backend servers.
 type Suspect struct {
-	Versioned
+	Versioned `msgpack:",inline"`
 	// Name is the fingerprint of customer, route and body.
 	Name  string       `json:"fingerprint" toml:"-" msgpack:"n"`
 	Pool  string       `json:"pool" toml:"-" msgpack:"p"`
--- a/internal/control/state/ledger.go
+++ b/internal/control/state/ledger.go
@@ -48,9 +48,9 @@
 
 // Attempt names the one process that may send a call.
 type Attempt struct {
-	Agent      string `msgpack:"a"`
-	Generation uint64 `msgpack:"g"`
-	ID         string `msgpack:"i"`
+	Agent      string `msgpack:"agent"`
+	Generation uint64 `msgpack:"generation"`
+	ID         string `msgpack:"id"`
 }
 
 // Reply is the answer of a backend server, kept for replay.
@@ -67,7 +67,7 @@
 	Key Key `msgpack:"k"`
 	// BodyHash identifies path and body; a resend has the same.
 	BodyHash string `msgpack:"h"`
-	Attempt  `msgpack:"a"`
+	Attempt  `msgpack:",inline"`
 	State    ClaimState `msgpack:"s"`
 	Reply    Reply      `msgpack:"r"`
 	// ChangedAt is when the state last changed.
@@ -78,26 +78,26 @@
 type Claim struct {
 	Key      Key    `msgpack:"k"`
 	BodyHash string `msgpack:"h"`
-	Attempt  `msgpack:"a"`
+	Attempt  `msgpack:",inline"`
 }
 
 // Finish records the answer of a call, by the attempt that sent it.
 type Finish struct {
 	Key     Key `msgpack:"k"`
-	Attempt `msgpack:"a"`
+	Attempt `msgpack:",inline"`
 	Reply   Reply `msgpack:"r"`
 }
 
 // Release gives a claim back; the attempt has sent nothing and never will.
 type Release struct {
 	Key     Key `msgpack:"k"`
-	Attempt `msgpack:"a"`
+	Attempt `msgpack:",inline"`
 }
 
 // Doubt records that a call was sent and its answer was lost.
 type Doubt struct {
 	Key     Key `msgpack:"k"`
-	Attempt `msgpack:"a"`
+	Attempt `msgpack:",inline"`
 }
 
 // Abandon marks every running claim of an agent up to a generation as unknown.
--- /dev/null
+++ b/internal/trial/caller/load.go
@@ -0,0 +1,88 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Load is a steady stream of returning chats over several entries.
+type Load struct {
+	Clients []*Client
+	// Callers is the number of chats at once.
+	Callers  int
+	Duration time.Duration
+	Model    string
+	// Chats is the number of different chats that return.
+	Chats  int
+	Tokens int
+	// Pause is the wait of a caller between two requests.
+	Pause time.Duration
+}
+
+// Tally counts what a load got.
+type Tally struct {
+	Results map[Result]int
+	Kinds   map[string]int
+	Warm    int
+	// LongestGap is the longest time without any whole answer.
+	LongestGap time.Duration
+	FirstToken []time.Duration
+	Gaps       []time.Duration
+}
+
+// String returns the counts on one line.
+func (t Tally) String() string {
+	return fmt.Sprintf("answered %d (warm %d), refused as not run %d, unknown %d, broken off %d, wrong %d, longest gap %s, kinds %v",
+		t.Results[Answered], t.Warm, t.Results[RefusedNotRun], t.Results[Unknown], t.Results[BrokenOff], t.Results[Wrong], t.LongestGap.Round(time.Millisecond), t.Kinds)
+}
+
+// Run sends the load and returns its tally.
+func (l Load) Run(ctx context.Context) (Tally, error) {
+	var mu sync.Mutex
+	tally := Tally{Results: make(map[Result]int), Kinds: make(map[string]int)}
+	startedAt := time.Now()
+	lastAt := startedAt
+	end := startedAt.Add(l.Duration)
+	group, ctx := errgroup.WithContext(ctx)
+	for n := range l.Callers {
+		group.Go(func() error {
+			for turn := 0; time.Now().Before(end) && ctx.Err() == nil; turn++ {
+				chat := fmt.Sprintf("chat-%d", (n+turn*l.Callers)%l.Chats)
+				a, err := l.Clients[(n+turn)%len(l.Clients)].Chat(ctx, Chat{
+					Model: l.Model, Chat: chat, Text: fmt.Sprintf("%s, turn %d", chat, turn), Tokens: l.Tokens,
+				})
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				tally.add(a, time.Now(), &lastAt)
+				mu.Unlock()
+				time.Sleep(l.Pause)
+			}
+			return nil
+		})
+	}
+	err := group.Wait()
+	return tally, err
+}
+
+func (t *Tally) add(a Answer, now time.Time, lastAt *time.Time) {
+	t.Results[a.Result]++
+	if a.Kind != "" {
+		t.Kinds[a.Kind]++
+	}
+	if a.Result != Answered {
+		return
+	}
+	t.LongestGap = max(t.LongestGap, now.Sub(*lastAt))
+	*lastAt = now
+	if a.Warm {
+		t.Warm++
+	}
+	t.FirstToken = append(t.FirstToken, a.FirstToken)
+	t.Gaps = append(t.Gaps, a.Gaps...)
+}
--- a/ticket.go
+++ b/ticket.go
@@ -18,8 +18,8 @@
 // touches.
 type Ticket struct {
 	// Number is chosen by the operator; at least 1.
-	Number  uint64 `json:"number" toml:"number" msgpack:"n"`
-	Changes `msgpack:"c"`
+	Number  uint64 `json:"number" toml:"number" msgpack:"number"`
+	Changes `msgpack:",inline"`
 }
 
 // Outcome is the durable result of a ticket.
