--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,14 @@
-.PHONY: build test demo measure matrix lint
+.PHONY: build test check demo matrix measure
 
 build:
 	mkdir -p bin
 	go build -o bin/ ./cmd/...
 
 test:
-	go test -race ./...
+	go test -race -count=1 ./...
 
 demo: build
 	./scripts/demo.sh
+
+check:
+	./scripts/check.sh
--- a/cmd/bronzerill-standin/main.go
+++ b/cmd/bronzerill-standin/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"bronzerill/internal/standin/booking"
@@ -18,6 +19,13 @@
 )
 
 func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "bronzerill-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	app := &cli.Command{
@@ -25,10 +33,7 @@
 		Usage:    "stand in for a backend server",
 		Commands: []*cli.Command{engineCommand(), bookingCommand()},
 	}
-	if err := app.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "bronzerill-standin:", err)
-		os.Exit(1)
-	}
+	return app.Run(ctx, os.Args)
 }
 
 func listenFlag() cli.Flag {
@@ -95,7 +100,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = web.Close() })
 	defer stop()
-	if err := web.ListenAndServe(); err != http.ErrServerClosed {
+	if err := web.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/agent/engine/events.go
+++ b/internal/agent/engine/events.go
@@ -7,6 +7,8 @@
 	"io"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"bronzerill"
 )
 
@@ -70,7 +72,7 @@
 		if err == nil {
 			return line, nil
 		}
-		if err != bufio.ErrBufferFull {
+		if !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, err
 		}
 		if len(line) > maxLineBytes {
--- a/internal/agent/service/client.go
+++ b/internal/agent/service/client.go
@@ -58,15 +58,21 @@
 	var connected atomic.Bool
 	client := &http.Client{Transport: c.transport(&connected), CheckRedirect: keepRedirect}
 	response, err := client.Do(request)
-	if err != nil && !connected.Load() {
-		return state.Reply{}, bronzerill.Errorf(bronzerill.KindUnreachable, "service: %v", err)
-	}
 	if err != nil {
-		return state.Reply{}, bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "service: %v", err)
+		return state.Reply{}, callError(err, connected.Load())
 	}
+	defer func() { _ = response.Body.Close() }()
 	return readReply(response)
 }
 
+// callError tells a call that was never sent from one that may have run.
+func callError(err error, connected bool) error {
+	if connected {
+		return bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "service: %v", err)
+	}
+	return bronzerill.Errorf(bronzerill.KindUnreachable, "service: %v", err)
+}
+
 // transport returns a transport for one call, which notes the moment from which
 // bytes may have reached the service.
 func (c *Client) transport(connected *atomic.Bool) *http.Transport {
@@ -89,7 +95,6 @@
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func readReply(response *http.Response) (state.Reply, error) {
-	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return state.Reply{}, bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "service answer cut off: %v", err)
--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -265,8 +265,7 @@
 	require.Fail(c.t, "value not committed", "%d", value)
 }
 
-func (c *cluster) cutBoth(a, b string)  { c.cut[a+">"+b] = true; c.cut[b+">"+a] = true }
-func (c *cluster) healBoth(a, b string) { delete(c.cut, a+">"+b); delete(c.cut, b+">"+a) }
+func (c *cluster) cutBoth(a, b string) { c.cut[a+">"+b] = true; c.cut[b+">"+a] = true }
 
 func (c *cluster) isolate(name string) {
 	for _, other := range c.order {
--- a/internal/control/replica/message.go
+++ b/internal/control/replica/message.go
@@ -56,6 +56,12 @@
 	Snapshot *Snapshot
 }
 
+// isTentative reports whether the message's term is only proposed, so that it
+// must not move the receiver's term on.
+func (m Message) isTentative() bool {
+	return m.Type == MessagePreVote || m.Type == MessagePreVoteReply && !m.Reject
+}
+
 // EntryType tells commands from membership changes.
 type EntryType uint8
 
--- a/internal/control/replica/step.go
+++ b/internal/control/replica/step.go
@@ -13,7 +13,7 @@
 	if c.inLease(now, m) {
 		return
 	}
-	if m.Term > c.hard.Term && m.Type != MessagePreVote && !(m.Type == MessagePreVoteReply && !m.Reject) {
+	if m.Term > c.hard.Term && !m.isTentative() {
 		lead := ""
 		if m.Type == MessageAppend || m.Type == MessageSnapshot {
 			lead = m.From
--- a/internal/trial/caller/client.go
+++ b/internal/trial/caller/client.go
@@ -180,7 +180,7 @@
 
 func streamResult(err error, done bool, taken, tokens int) Result {
 	switch {
-	case err != io.EOF:
+	case !errors.Is(err, io.EOF):
 		return BrokenOff
 	case done && taken == tokens:
 		return Answered
