--- /dev/null
+++ b/internal/agent/admission/gate_test.go
@@ -0,0 +1,212 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bronzerill"
+	"bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/exchange"
+)
+
+var now = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func pool() bronzerill.Pool {
+	return bronzerill.Pool{Name: "bronze-guides", Kind: bronzerill.PoolEngine, LoadMultiple: 1.5, Slots: 16, FloorSlots: 4, ColdSlots: 2, RampStep: 2}
+}
+
+func view(mean float64) *control.View {
+	changes := bronzerill.Changes{Pools: []bronzerill.Pool{pool()}, Zones: []bronzerill.Zone{{Name: "gramado"}}}
+	return &control.View{
+		Config:     (&bronzerill.Config{}).WithChanges(changes),
+		Mean:       mean,
+		MeanAt:     now,
+		LeaseUntil: now.Add(control.LeaseTerm),
+	}
+}
+
+func with(v *control.View, changes bronzerill.Changes) *control.View {
+	next := *v
+	next.Config = v.Config.WithChanges(changes)
+	return &next
+}
+
+// warmGate returns a gate at the top of its ramp.
+func warmGate() *Gate {
+	g := NewGate("bronze-guides", "gramado")
+	for range 100 {
+		g.ramp = g.ramp.WithFinished(g.ramp.Epoch())
+	}
+	return g
+}
+
+func ask(customer string) Ask { return Ask{Customer: customer, Weight: 1, Print: "p"} }
+
+// fill admits n requests of different customers.
+func fill(t *testing.T, g *Gate, v *control.View, n int) []Pass {
+	var passes []Pass
+	for i := range n {
+		pass, kind := g.Admit(now, v, Ask{Customer: fmt.Sprint("customer-", i), Weight: 1, Print: fmt.Sprint(i)})
+		require.Equal(t, bronzerill.KindNone, kind, "request %d", i)
+		passes = append(passes, pass)
+	}
+	return passes
+}
+
+func TestAdmit(t *testing.T) {
+	out := bronzerill.Changes{Zones: []bronzerill.Zone{{Name: "gramado", Out: true}}}
+	suspect := func(s bronzerill.SuspectState) bronzerill.Changes {
+		return bronzerill.Changes{Suspects: []bronzerill.Suspect{{Name: "p", State: s}}}
+	}
+	leaving := view(10)
+	leaving.Leaving = true
+	cases := []struct {
+		name string
+		now  time.Time
+		view *control.View
+		// running is what runs already, by other customers.
+		running int
+		prepare func(g *Gate)
+		ask     Ask
+		want    bronzerill.Kind
+	}{
+		{"well", now, view(10), 3, nil, ask("a"), bronzerill.KindNone},
+		{"lease lapsed", now.Add(control.LeaseTerm), view(10), 0, nil, ask("a"), bronzerill.KindLeaseLapsed},
+		{"zone out", now, with(view(10), out), 0, nil, ask("a"), bronzerill.KindZoneOut},
+		{"draining", now, view(10), 0, (*Gate).Drain, ask("a"), bronzerill.KindLeaving},
+		{"on the leaving list", now, leaving, 0, nil, ask("a"), bronzerill.KindLeaving},
+		{"server down", now, view(10), 0, func(g *Gate) { g.SetDown(true) }, ask("a"), bronzerill.KindUnreachable},
+		{"held suspect", now, with(view(10), suspect(bronzerill.SuspectHeld)), 0, nil, ask("a"), bronzerill.KindSuspect},
+		{"granted trial", now, with(view(10), suspect(bronzerill.SuspectHeld)), 0, nil, Ask{Customer: "a", Weight: 1, Print: "p", Trial: true}, bronzerill.KindNone},
+		{"quarantined", now, with(view(10), suspect(bronzerill.SuspectQuarantined)), 0, nil, Ask{Customer: "a", Weight: 1, Print: "p", Trial: true}, bronzerill.KindQuarantined},
+		{"company for a trial", now, view(10), 0, func(g *Gate) { g.trial = "other" }, ask("a"), bronzerill.KindOverloaded},
+		{"floor at no load", now, view(0), 3, nil, ask("a"), bronzerill.KindNone},
+		{"over the floor at no load", now, view(0), 4, nil, ask("a"), bronzerill.KindOverloaded},
+		{"at the multiple", now, view(6), 9, nil, ask("a"), bronzerill.KindOverloaded},
+		{"under the multiple", now, view(6), 8, nil, ask("a"), bronzerill.KindNone},
+		{"never over the slots", now, view(100), 16, nil, ask("a"), bronzerill.KindOverloaded},
+		{"mean too old", now.Add(2 * time.Second), view(10), 4, nil, ask("a"), bronzerill.KindOverloaded},
+		{"cold", now, view(10), 0, func(g *Gate) { g.StartCold(); g.running = 2 }, ask("a"), bronzerill.KindCold},
+		{"batch under pressure", now, view(6), 7, nil, Ask{Customer: "a", Weight: 1, Priority: exchange.PriorityBatch}, bronzerill.KindPriority},
+		{"batch with room", now, view(6), 3, nil, Ask{Customer: "a", Weight: 1, Priority: exchange.PriorityBatch}, bronzerill.KindNone},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := warmGate()
+			fill(t, g, view(100), c.running)
+			if c.prepare != nil {
+				c.prepare(g)
+			}
+			_, kind := g.Admit(c.now, c.view, c.ask)
+			assert.Equal(t, c.want.String(), kind.String())
+		})
+	}
+}
+
+// TestSurgeLeavesOthersTheirShare lets one customer send without end.
+func TestSurgeLeavesOthersTheirShare(t *testing.T) {
+	g := warmGate()
+	v := view(10)
+	surging := 0
+	for range 100 {
+		if _, kind := g.Admit(now, v, ask("surging")); kind == bronzerill.KindNone {
+			surging++
+		}
+	}
+	assert.Equal(t, 15, surging, "alone it may fill the limit")
+
+	g = warmGate()
+	fill(t, g, v, 3)
+	surging = 0
+	for range 100 {
+		if _, kind := g.Admit(now, v, ask("surging")); kind == bronzerill.KindNone {
+			surging++
+		}
+	}
+	assert.Less(t, surging+3, 15, "beside others it leaves slots free")
+	_, kind := g.Admit(now, v, ask("customer-0"))
+	assert.Equal(t, bronzerill.KindNone, kind)
+}
+
+// TestLoadBoundAtEveryAdmission admits and finishes at random, over means, cold
+// starts and views, and holds each admission against the stated bounds.
+func TestLoadBoundAtEveryAdmission(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		g := NewGate("bronze-guides", "gramado")
+		var passes []Pass
+		finished, v := 0, view(0)
+		for range 5000 {
+			switch random.IntN(12) {
+			case 0:
+				v = view(random.Float64() * 20)
+			case 1:
+				if random.IntN(20) == 0 {
+					g.StartCold()
+					finished = 0
+					passes = nil
+					g = NewGate("bronze-guides", "gramado")
+				}
+			case 2, 3, 4:
+				if len(passes) > 0 {
+					good := random.IntN(2) == 0
+					g.Done(passes[0], good)
+					passes = passes[1:]
+					if good {
+						finished++
+					}
+				}
+			default:
+				before := g.Running()
+				pass, kind := g.Admit(now, v, ask(fmt.Sprint("c", random.IntN(3))))
+				if kind != bronzerill.KindNone {
+					assert.Equal(t, bronzerill.RunNot, kind.Answer().Run)
+					continue
+				}
+				passes = append(passes, pass)
+				p := pool()
+				bound := max(p.FloorSlots, int(math.Ceil(p.LoadMultiple*v.Mean)))
+				assert.LessOrEqual(t, before+1, min(bound, p.Slots, p.ColdSlots+finished/p.RampStep))
+			}
+		}
+	}
+}
+
+func TestRamp(t *testing.T) {
+	p := pool()
+	r := Ramp{}
+	assert.Equal(t, 2, r.Limit(p))
+	assert.True(t, r.IsCold(p))
+	for range 2 {
+		r = r.WithFinished(r.Epoch())
+	}
+	assert.Equal(t, 3, r.Limit(p))
+	for range 100 {
+		r = r.WithFinished(r.Epoch())
+	}
+	assert.Equal(t, p.Slots, r.Limit(p))
+	assert.False(t, r.IsCold(p))
+	old := r.Epoch()
+	r = r.WithColdStart()
+	assert.Equal(t, 2, r.Limit(p))
+	assert.Equal(t, r, r.WithFinished(old), "work begun before the cold start proves nothing")
+}
+
+func TestDoneGivesEverythingBack(t *testing.T) {
+	g := warmGate()
+	v := view(10)
+	passes := fill(t, g, v, 10)
+	assert.Len(t, g.Prints(), 10)
+	for _, pass := range passes {
+		g.Done(pass, true)
+	}
+	assert.Zero(t, g.Running())
+	assert.Empty(t, g.Prints())
+	assert.Empty(t, g.customers)
+}
--- /dev/null
+++ b/internal/control/holder/lease_test.go
@@ -0,0 +1,208 @@
+package holder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bronzerill"
+	"bronzerill/internal/wire/control"
+)
+
+const step = 50 * time.Millisecond
+
+// message is a renewal or its reply on its way.
+type message struct {
+	at      time.Time
+	holder  int
+	sentAt  time.Time
+	request *control.RenewRequest
+	reply   *control.RenewReply
+}
+
+// holders is a leader, its successors and some lease holders on a stepped
+// clock, with lost, doubled and late messages, freezes and changes of leader.
+type holders struct {
+	t        *testing.T
+	random   *rand.Rand
+	now      time.Time
+	config   *bronzerill.Config
+	table    *Table
+	term     uint64
+	views    []*control.View
+	frozen   []time.Time
+	renewAt  []time.Time
+	messages []message
+	// committedAt is when each revision was committed.
+	committedAt map[uint64]time.Time
+	inForce     uint64
+}
+
+func newHolders(t *testing.T, seed uint64, count int) *holders {
+	h := &holders{
+		t:           t,
+		random:      rand.New(rand.NewPCG(seed, 7)),
+		now:         time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC),
+		config:      &bronzerill.Config{},
+		term:        1,
+		committedAt: make(map[uint64]time.Time),
+		frozen:      make([]time.Time, count),
+		renewAt:     make([]time.Time, count),
+	}
+	h.table = NewTable(h.now, h.term)
+	for range count {
+		h.views = append(h.views, &control.View{Config: &bronzerill.Config{}})
+	}
+	return h
+}
+
+func (h *holders) post(m message) {
+	for h.random.IntN(10) < 9 {
+		m.at = h.now.Add(time.Duration(h.random.Int64N(int64(400 * time.Millisecond))))
+		if h.random.IntN(30) == 0 {
+			m.at = m.at.Add(4 * time.Second)
+		}
+		h.messages = append(h.messages, m)
+		if h.random.IntN(10) > 0 {
+			return
+		}
+	}
+}
+
+func (h *holders) step() {
+	h.now = h.now.Add(step)
+	h.commitSometimes()
+	h.changeLeaderSometimes()
+	h.table.Tick(h.now, h.config)
+	for n := range h.views {
+		if h.random.IntN(200) == 0 {
+			h.frozen[n] = h.now.Add(time.Duration(h.random.IntN(8000)) * time.Millisecond)
+		}
+		if h.isFrozen(n) || h.now.Before(h.renewAt[n]) {
+			continue
+		}
+		h.renewAt[n] = h.now.Add(control.EntryRenewal)
+		h.post(message{holder: n, sentAt: h.now, request: &control.RenewRequest{
+			Holder: fmt.Sprintf("entry-%d", n), Revision: h.views[n].Config.Revision(), WantServers: true,
+		}})
+	}
+	h.deliver()
+	h.check()
+}
+
+func (h *holders) isFrozen(n int) bool { return h.now.Before(h.frozen[n]) }
+
+func (h *holders) commitSometimes() {
+	if h.random.IntN(20) > 0 {
+		return
+	}
+	h.config = h.config.WithChanges(bronzerill.Changes{Zones: []bronzerill.Zone{{Name: "canela", Out: h.random.IntN(2) == 0}}})
+	h.committedAt[h.config.Revision()] = h.now
+}
+
+// changeLeaderSometimes starts a new leader with an empty table. The log keeps
+// it from leading before its predecessor's lease has run out; see package
+// replica.
+func (h *holders) changeLeaderSometimes() {
+	if h.random.IntN(300) > 0 {
+		return
+	}
+	h.term++
+	h.table = NewTable(h.now, h.term)
+}
+
+func (h *holders) deliver() {
+	var later []message
+	due := h.messages
+	h.messages = nil
+	for _, m := range due {
+		switch {
+		case m.at.After(h.now), m.reply != nil && h.isFrozen(m.holder):
+			later = append(later, m)
+		case m.request != nil:
+			reply := h.table.Renew(h.now, h.config, m.request)
+			h.post(message{holder: m.holder, sentAt: m.sentAt, reply: &reply})
+		default:
+			h.take(m)
+		}
+	}
+	h.messages = append(h.messages, later...)
+}
+
+func (h *holders) take(m message) {
+	before := h.views[m.holder]
+	after := before.WithReply(m.sentAt, m.reply)
+	require.GreaterOrEqual(h.t, after.Config.Revision(), before.Config.Revision(), "a revision fell")
+	h.views[m.holder] = after
+}
+
+// check holds the promises against every view that may act now.
+func (h *holders) check() {
+	for revision := h.inForce + 1; revision <= h.config.Revision(); revision++ {
+		if h.table.InForce(h.now, revision) {
+			h.inForce = revision
+		}
+	}
+	for n, v := range h.views {
+		if !v.HasLease(h.now) {
+			continue
+		}
+		require.GreaterOrEqual(h.t, v.Config.Revision(), h.inForce, "holder %d acts on an older revision than is in force", n)
+		next := v.Config.Revision() + 1
+		if at, ok := h.committedAt[next]; ok {
+			require.LessOrEqual(h.t, h.now.Sub(at), control.LeaseTerm, "holder %d acts on a revision that was replaced over a lease term ago", n)
+		}
+	}
+}
+
+// TestLeasesKeepRevisionsInForce is the proof that an accepted configuration is
+// in force within the lease term and never reverts.
+func TestLeasesKeepRevisionsInForce(t *testing.T) {
+	for seed := range uint64(15) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			h := newHolders(t, seed, 20)
+			for range 2000 {
+				h.step()
+			}
+			assert.NotZero(t, h.inForce, "no revision ever came into force")
+		})
+	}
+}
+
+// TestRestartAfterHundredsOfChanges brings back a holder that missed more
+// removals than are kept.
+func TestRestartAfterHundredsOfChanges(t *testing.T) {
+	cases := []struct {
+		name     string
+		changes  int
+		snapshot bool
+	}{{"delta", 300, false}, {"snapshot", 5000, true}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			config := (&bronzerill.Config{}).WithChanges(zones("first"))
+			old := &control.View{Config: config}
+			for n := range c.changes {
+				name := fmt.Sprintf("zone-%d", n)
+				config = config.WithChanges(zones(name))
+				config = config.WithChanges(bronzerill.Changes{Removals: []bronzerill.Removal{{Kind: bronzerill.EntityZone, Name: name}}})
+			}
+			config = config.WithChanges(zones("last"))
+			now := time.Now()
+			table := NewTable(now, 1)
+			reply := table.Renew(now, config, &control.RenewRequest{Holder: "entry-1", Revision: old.Config.Revision()})
+			require.NotNil(t, reply.Delta)
+			assert.Equal(t, c.snapshot, reply.Delta.Snapshot)
+			view := old.WithReply(now, &reply)
+			assert.Equal(t, config.Zones(), view.Config.Zones())
+			assert.Equal(t, config.Revision(), view.Config.Revision())
+		})
+	}
+}
+
+func zones(name string) bronzerill.Changes {
+	return bronzerill.Changes{Zones: []bronzerill.Zone{{Name: name}}}
+}
--- a/internal/control/holder/report.go
+++ b/internal/control/holder/report.go
@@ -46,10 +46,21 @@
 		p.Usable += slots
 		byZone[r.Zone] += slots
 	}
+	p.Dependable = p.Usable - largestLoss(c, byZone)
+	return p
+}
+
+// largestLoss returns the slots that the absence of one zone would cost. While
+// a zone is out already, that absence has come.
+func largestLoss(c *bronzerill.Config, byZone map[string]int) int {
+	for _, zone := range c.Zones() {
+		if zone.Out {
+			return 0
+		}
+	}
 	largest := 0
 	for _, slots := range byZone {
 		largest = max(largest, slots)
 	}
-	p.Dependable = p.Usable - largest
-	return p
+	return largest
 }
--- /dev/null
+++ b/internal/control/state/suspect_test.go
@@ -0,0 +1,121 @@
+package state
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bronzerill"
+)
+
+func (h *harness) crash(agent, id string, prints ...string) {
+	h.apply(Command{Crash: &Crash{Pool: "bronze-guides", Agent: agent, ID: id, Prints: prints}})
+}
+
+func (h *harness) trial(print, agent string) bronzerill.Kind {
+	return h.apply(Command{Trial: &Trial{Print: print, Agent: agent}}).Kind
+}
+
+func (h *harness) state(print string) bronzerill.SuspectState {
+	s, _ := h.m.Config().Suspect(print)
+	return s.State
+}
+
+func TestCrashMakesSuspects(t *testing.T) {
+	h := newHarness(t)
+	h.crash("server-1", "1/a", "guilty", "innocent")
+	h.crash("server-1", "1/a", "guilty", "innocent")
+	assert.Equal(t, bronzerill.SuspectHeld, h.state("guilty"), "a doubled report counts once")
+	assert.Equal(t, bronzerill.SuspectHeld, h.state("innocent"))
+
+	require.Equal(t, bronzerill.KindNone, h.trial("innocent", "server-2"))
+	assert.Equal(t, bronzerill.KindSuspect, h.trial("guilty", "server-3"), "one trial at a time in a pool")
+	h.apply(Command{Verdict: &Verdict{Print: "innocent", Agent: "server-2", Cleared: true}})
+	assert.Empty(t, h.state("innocent"))
+
+	require.Equal(t, bronzerill.KindNone, h.trial("guilty", "server-3"))
+	h.restart()
+	h.crash("server-3", "1/b", "guilty", "bystander")
+	assert.Equal(t, bronzerill.SuspectQuarantined, h.state("guilty"))
+	assert.Empty(t, h.state("bystander"), "the trial alone is blamed")
+	assert.Equal(t, bronzerill.KindQuarantined, h.trial("guilty", "server-4"))
+}
+
+func TestTrialOnALostAgentCountsAsCrash(t *testing.T) {
+	h := newHarness(t)
+	h.crash("server-1", "1/a", "guilty")
+	require.Equal(t, bronzerill.KindNone, h.trial("guilty", "server-2"))
+	h.apply(Command{Abandon: &Abandon{Agent: "server-2"}})
+	assert.Equal(t, bronzerill.SuspectQuarantined, h.state("guilty"))
+}
+
+func TestTrialThatShowsNothingIsHeldAgain(t *testing.T) {
+	h := newHarness(t)
+	h.crash("server-1", "1/a", "guilty")
+	require.Equal(t, bronzerill.KindNone, h.trial("guilty", "server-2"))
+	h.apply(Command{Verdict: &Verdict{Print: "guilty", Agent: "server-9", Cleared: true}})
+	assert.Equal(t, bronzerill.SuspectTrial, h.state("guilty"), "a verdict from elsewhere counts nothing")
+	h.apply(Command{Verdict: &Verdict{Print: "guilty", Agent: "server-2"}})
+	assert.Equal(t, bronzerill.SuspectHeld, h.state("guilty"))
+}
+
+func TestSuspectsAreReleased(t *testing.T) {
+	h := newHarness(t)
+	h.crash("server-1", "1/a", "first", "second")
+	h.apply(Command{Pardon: &Pardon{Print: "first"}})
+	assert.Empty(t, h.state("first"))
+	h.now = h.now.Add(HoldTime + time.Second)
+	h.apply(Command{Expire: &Expire{}})
+	assert.Empty(t, h.state("second"))
+}
+
+func TestSuspectTableIsBounded(t *testing.T) {
+	h := newHarness(t)
+	for crash := range 2 * maxSuspects / maxCrashPrints {
+		var prints []string
+		for n := range maxCrashPrints {
+			prints = append(prints, fmt.Sprintf("%d-%d", crash, n))
+		}
+		h.crash("server-1", fmt.Sprint(crash), prints...)
+	}
+	assert.LessOrEqual(t, h.m.Config().SuspectCount(), maxSuspects)
+}
+
+// TestAtMostTwoServersLost sends a crashing request through any entry to any
+// agent, again and again, among others that do no harm. Every agent asks the
+// configuration before it runs a request, as package admission does.
+func TestAtMostTwoServersLost(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		h := newHarness(t)
+		lost := 0
+		for attempt := range 200 {
+			agent := fmt.Sprintf("server-%d", random.IntN(20))
+			s, suspected := h.m.Config().Suspect("guilty")
+			if suspected && (s.State != bronzerill.SuspectHeld || h.trial("guilty", agent) != bronzerill.KindNone) {
+				continue
+			}
+			switch random.IntN(4) {
+			case 0:
+				h.apply(Command{Verdict: &Verdict{Print: "guilty", Agent: agent}})
+			case 1:
+				lost++
+				h.apply(Command{Abandon: &Abandon{Agent: agent}})
+				if !suspected {
+					h.crash(agent, fmt.Sprint(attempt, "/gone"), "guilty")
+				}
+			default:
+				lost++
+				h.crash(agent, fmt.Sprint(attempt), "guilty", fmt.Sprint("innocent-", attempt))
+			}
+			if random.IntN(5) == 0 {
+				h.restart()
+			}
+		}
+		assert.LessOrEqual(t, lost, crashesToQuarantine, "seed %d", seed)
+	}
+}
--- a/internal/entry/agent/backoff.go
+++ b/internal/entry/agent/backoff.go
@@ -15,7 +15,7 @@
 	maxPause         = 5 * time.Second
 )
 
-type pause struct {
+type backoff struct {
 	until time.Time
 	// failures counts the failures in a row; refusals for load don't count.
 	failures int
@@ -27,12 +27,12 @@
 type Backoffs struct {
 	mu     sync.Mutex
 	random *rand.Rand
-	pauses map[string]pause
+	pauses map[string]backoff
 }
 
 // NewBackoffs returns an empty table with seeded jitter.
 func NewBackoffs(seed uint64) *Backoffs {
-	return &Backoffs{random: rand.New(rand.NewPCG(seed, 3)), pauses: make(map[string]pause)}
+	return &Backoffs{random: rand.New(rand.NewPCG(seed, 3)), pauses: make(map[string]backoff)}
 }
 
 // Until returns when the server may be asked again.
--- a/internal/entry/agent/client.go
+++ b/internal/entry/agent/client.go
@@ -44,21 +44,38 @@
 	Data(p []byte) error
 }
 
+// Dialer connects to agents.
+type Dialer interface {
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Secret is what own processes share.
+	Secret string
+	// Dialer connects to agents; nil connects over TCP.
+	Dialer Dialer
+}
+
 // Client opens exchanges at agents.
 type Client struct {
-	secret string
+	cfg    ClientConfig
 	shared *http.Client
 }
 
-// NewClient returns a client that proves the shared secret.
-func NewClient(secret string) *Client {
-	return &Client{secret: secret, shared: &http.Client{Transport: newTransport(false)}}
+// NewClient returns a client.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.Dialer == nil {
+		cfg.Dialer = &net.Dialer{Timeout: dialTimeout}
+	}
+	c := &Client{cfg: cfg}
+	c.shared = &http.Client{Transport: c.newTransport(false)}
+	return c
 }
 
-func newTransport(single bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func (c *Client) newTransport(single bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         c.cfg.Dialer.DialContext,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -80,7 +97,7 @@
 	}
 	for tries := 0; errors.Is(err, errLost) && tries < maxAttaches && ctx.Err() == nil; tries++ {
 		metrics.Count(metrics.EventResumed)
-		time.Sleep(attachPause)
+		pause(ctx, attachPause)
 		err = c.attach(ctx, addr, o, checker, out)
 	}
 	switch {
@@ -95,13 +112,23 @@
 	return err
 }
 
+// pause waits, or returns early when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // attach comes back to the exchange over a connection of its own: kept ones to
 // this agent may all have gone silent.
 func (c *Client) attach(ctx context.Context, addr string, o exchange.Open, checker *exchange.Checker, out Output) error {
 	o.Attach = true
 	o.Offset = checker.Offset()
 	o.Body = nil
-	transport := newTransport(true)
+	transport := c.newTransport(true)
 	defer transport.CloseIdleConnections()
 	return c.follow(ctx, &http.Client{Transport: transport}, addr, o, checker, out)
 }
@@ -187,7 +214,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "agent address")
 	}
-	exchange.Authorize(request, c.secret)
+	exchange.Authorize(request, c.cfg.Secret)
 	return client.Do(request)
 }
 
--- /dev/null
+++ b/internal/entry/agent/network_test.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fault is what happens to one connection, by the bytes that the agent has sent
+// over it.
+type fault struct {
+	// cutAfter closes the connection; silentAfter loses every later byte in
+	// both directions. Zero means never.
+	cutAfter    int
+	silentAfter int
+}
+
+// network connects clients and servers in one process by pipes, which a test
+// on virtual time can use. The nth connection has the nth fault.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	faults    []fault
+	dials     int
+}
+
+func newNetwork(faults ...fault) *network {
+	return &network{listeners: make(map[string]*listener), faults: faults}
+}
+
+type listener struct {
+	addr   string
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (n *network) listen(addr string) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[addr] = l
+	return l
+}
+
+// Accept waits for a client.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close refuses further clients.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr returns a made-up address.
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// DialContext connects to a listener, or is refused.
+func (n *network) DialContext(_ context.Context, _, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	var f fault
+	if n.dials < len(n.faults) {
+		f = n.faults[n.dials]
+	}
+	n.dials++
+	n.mu.Unlock()
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	if l == nil {
+		return nil, refused
+	}
+	client, server := net.Pipe()
+	select {
+	case l.conns <- &faultyConn{Conn: server, fault: f}:
+		return client, nil
+	case <-l.closed:
+		return nil, refused
+	}
+}
+
+// faultyConn is the agent's end of a connection.
+type faultyConn struct {
+	net.Conn
+	fault fault
+	mu    sync.Mutex
+	sent  int
+}
+
+// Write sends bytes until the fault strikes.
+func (c *faultyConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := max(c.fault.cutAfter, c.fault.silentAfter)
+	if limit == 0 || c.sent+len(p) <= limit {
+		c.sent += len(p)
+		return c.Conn.Write(p)
+	}
+	rest := max(0, limit-c.sent)
+	c.sent = limit
+	if rest > 0 {
+		if n, err := c.Conn.Write(p[:rest]); err != nil {
+			return n, err
+		}
+	}
+	if c.fault.cutAfter > 0 {
+		return rest, c.Close()
+	}
+	return len(p), nil
+}
+
+// Read loses what comes over a connection that went silent.
+func (c *faultyConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	silent := c.fault.silentAfter > 0 && c.sent >= c.fault.silentAfter
+	c.mu.Unlock()
+	if silent && err == nil {
+		time.Sleep(time.Hour)
+	}
+	return n, err
+}
--- a/internal/entry/agent/ring.go
+++ b/internal/entry/agent/ring.go
@@ -73,6 +73,9 @@
 
 // Find returns the position of the server of that name.
 func (r *Ring) Find(name string) (int, bool) {
+	if len(r.points) == 0 {
+		return 0, false
+	}
 	hash := xxhash.Sum64String(name)
 	for i := r.successor(hash); i < len(r.points) && r.points[i].hash == hash; i++ {
 		if at := int(r.points[i].server); r.servers[at].Name == name {
--- a/internal/run/entry/role.go
+++ b/internal/run/entry/role.go
@@ -60,7 +60,7 @@
 		Log:     cfg.Log,
 		Changed: rings.update,
 	})
-	client := agent.NewClient(cfg.Secret)
+	client := agent.NewClient(agent.ClientConfig{Secret: cfg.Secret})
 	forwarder := agent.NewForwarder(agent.ForwarderConfig{
 		Client:  client,
 		Fleet:   &fleet{keeper, rings},
--- a/report.go
+++ b/report.go
@@ -22,7 +22,8 @@
 	Servers int `json:"servers"`
 	// Usable counts the slots of those servers.
 	Usable int `json:"usable"`
-	// Dependable is Usable without the zone that has most of it.
+	// Dependable is Usable without the zone that has most of it, or Usable
+	// itself while a zone is out.
 	Dependable int `json:"dependable"`
 	// Promised counts the slots that the office has promised.
 	Promised int `json:"promised"`
