--- /dev/null
+++ b/internal/control/replica/store_test.go
@@ -0,0 +1,85 @@
+package replica
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	bolt "go.etcd.io/bbolt"
+)
+
+func newStore(t *testing.T) (*BoltStore, string) {
+	folder := t.TempDir()
+	require.NoError(t, InitStore(folder, "a", Members{List: []Member{{Name: "a", Voter: true}}}))
+	s, err := OpenStore(folder)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return s, folder
+}
+
+func entries(from, to, term uint64) []Entry {
+	var list []Entry
+	for i := from; i <= to; i++ {
+		list = append(list, Entry{Index: i, Term: term, Type: EntryCommand, Data: []byte{byte(i)}})
+	}
+	return list
+}
+
+func TestStoreKeepsWhatWasSaved(t *testing.T) {
+	s, folder := newStore(t)
+	require.NoError(t, s.Save(Ready{Hard: &HardState{Term: 3, Vote: "b"}, Entries: entries(1, 10, 2)}))
+	require.NoError(t, s.Save(Ready{Entries: entries(8, 9, 3)}))
+	require.NoError(t, s.SaveSnapshot(Snapshot{Index: 4, Term: 2, Data: []byte("state")}))
+	require.NoError(t, s.Close())
+
+	again, err := OpenStore(folder)
+	require.NoError(t, err)
+	defer func() { _ = again.Close() }()
+	saved, err := again.Load()
+	require.NoError(t, err)
+	assert.Equal(t, HardState{Term: 3, Vote: "b"}, saved.Hard)
+	assert.Equal(t, uint64(4), saved.Snapshot.Index)
+	assert.Equal(t, append(entries(5, 7, 2), entries(8, 9, 3)...), saved.Entries)
+}
+
+func TestEmptyFolderDoesNotStart(t *testing.T) {
+	_, err := OpenStore(t.TempDir())
+	assert.ErrorIs(t, err, ErrNoData)
+}
+
+func TestInitRefusesAFolderInUse(t *testing.T) {
+	_, folder := newStore(t)
+	assert.ErrorContains(t, InitStore(folder, "a", Members{}), "initialised already")
+}
+
+// TestUnfinishedInitLeavesNothing crashes init before the file has its name.
+func TestUnfinishedInitLeavesNothing(t *testing.T) {
+	folder := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(folder, storeFile+".new"), []byte("half"), 0o600))
+	_, err := OpenStore(folder)
+	assert.ErrorIs(t, err, ErrNoData)
+	assert.NoError(t, InitStore(folder, "a", Members{}))
+}
+
+func TestDamagedRecordIsSeen(t *testing.T) {
+	s, _ := newStore(t)
+	require.NoError(t, s.Save(Ready{Entries: entries(1, 3, 1)}))
+	require.NoError(t, s.db.Update(func(tx *bolt.Tx) error {
+		bucket := tx.Bucket(bucketLog)
+		record := append([]byte(nil), bucket.Get(indexKey(2))...)
+		record[len(record)-1] ^= 1
+		return bucket.Put(indexKey(2), record)
+	}))
+	_, err := s.Load()
+	assert.ErrorContains(t, err, "checksum differs")
+}
+
+func TestGapInTheLogIsSeen(t *testing.T) {
+	s, _ := newStore(t)
+	require.NoError(t, s.Save(Ready{Entries: entries(1, 3, 1)}))
+	require.NoError(t, s.db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucketLog).Delete(indexKey(2)) }))
+	_, err := s.Load()
+	assert.ErrorContains(t, err, "log entry 3 found where 2 belongs")
+}
--- /dev/null
+++ b/internal/settings/file/settings_test.go
@@ -0,0 +1,75 @@
+package file
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const good = `
+name = "agent-1"
+zone = "gramado"
+secret-file = "fleet.secret"
+control-replicas = ["127.0.0.1:7100"]
+[agent]
+listen = "127.0.0.1:9000"
+server = "server-1"
+pool = "bronze-guides"
+kind = "engine"
+backend = "http://127.0.0.1:8000"
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good))
+	require.NoError(t, err)
+	assert.Equal(t, 5*time.Minute, s.Agent.DrainTimeout.Duration)
+	assert.Contains(t, s.String(), "5m0s", "check prints the defaults")
+	again, err := Parse([]byte(s.String()))
+	require.NoError(t, err)
+	assert.Equal(t, s, again, "what check prints is a settings file")
+}
+
+func TestFaultsNameLineAndKey(t *testing.T) {
+	cases := []struct {
+		name string
+		text string
+		want []string
+	}{
+		{"unknown key", good + "bakend = \"x\"\n", []string{"bakend", "12"}},
+		{"wrong type", "name = 3", []string{"line 1", "name"}},
+		{"bad duration", good + "drain-timeout = \"5\"\n", []string{"line 12", "drain-timeout"}},
+		{"several faults", "[agent]\nlisten = \"localhost:9\"", []string{"name:", "secret-file", "control-replicas", "agent.listen", "agent.server", "agent.pool", "agent.kind", "agent.backend", "zone"}},
+		{"no role", "name = \"a\"\nsecret-file = \"s\"", []string{"no role"}},
+		{"bad range", "name = \"a\"\nsecret-file = \"s\"\n[entry]\nlisten = \"127.0.0.1:1\"\n[operator]\nlisten = \"127.0.0.1:2\"\nsecret-file=\"o\"\nallow = [\"10.0.0.1\"]", []string{"operator.allow", "control-replicas"}},
+		{"garbage", "\x00\xff[[", []string{"line 1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse([]byte(c.text))
+			require.Error(t, err)
+			for _, want := range c.want {
+				assert.Contains(t, err.Error(), want)
+			}
+		})
+	}
+}
+
+func TestReadSecret(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "secret")
+	require.NoError(t, os.WriteFile(path, []byte("short\n"), 0o600))
+	_, err := ReadSecret(path)
+	assert.ErrorContains(t, err, "under 16 bytes")
+	require.NoError(t, os.WriteFile(path, []byte("long enough a secret\n"), 0o600))
+	secret, err := ReadSecret(path)
+	require.NoError(t, err)
+	assert.Equal(t, "long enough a secret", secret)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Parse(data) })
+}
