--- a/Makefile
+++ b/Makefile
@@ -12,3 +12,6 @@
 
 check:
 	./scripts/check.sh
+
+matrix: build
+	./scripts/matrix.sh
--- a/cmd/bronzerill-trial/main.go
+++ b/cmd/bronzerill-trial/main.go
@@ -18,9 +18,12 @@
 
 func main() {
 	app := &cli.Command{
-		Name:     "bronzerill-trial",
-		Usage:    "try out a running fleet",
-		Commands: []*cli.Command{chatCommand(), bookCommand(), executionsCommand(), loadCommand(), waitCommand(), hashCommand()},
+		Name:  "bronzerill-trial",
+		Usage: "try out a running fleet",
+		Commands: []*cli.Command{
+			chatCommand(), bookCommand(), executionsCommand(), bookingsCommand(), engineCommand(),
+			faultCommand(), ticketsCommand(), loadCommand(), garbageCommand(), waitCommand(), hashCommand(),
+		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bronzerill-trial:", err)
@@ -96,35 +99,6 @@
 	return nil
 }
 
-func executionsCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "executions",
-		Usage: "count how often a booking ran, by the booking servers' own word",
-		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "server", Required: true, Usage: "HTTP `ADDRESS` of a stand-in booking server, repeated"},
-			&cli.StringFlag{Name: "key", Required: true, Usage: "idempotency `KEY`"},
-			&cli.IntFlag{Name: "want", Value: 1},
-		},
-		Action: runExecutions,
-	}
-}
-
-func runExecutions(ctx context.Context, c *cli.Command) error {
-	total := 0
-	for _, server := range c.StringSlice("server") {
-		counts, err := trial.Executions(ctx, server)
-		if err != nil {
-			return err
-		}
-		total += counts[c.String("key")]
-	}
-	fmt.Printf("%s ran %d times\n", c.String("key"), total)
-	if total != c.Int("want") {
-		return errors.Errorf("want %d", c.Int("want"))
-	}
-	return nil
-}
-
 func loadCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "load",
@@ -136,6 +110,7 @@
 			&cli.IntFlag{Name: "tokens", Value: 20},
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second},
 			&cli.DurationFlag{Name: "pause", Value: 20 * time.Millisecond},
+			&cli.StringSliceFlag{Name: "avoid-unready", Usage: "operator `ADDRESS` of each entry, in order; an entry that isn't ready gets no requests, as behind a balancer"},
 			&cli.BoolFlag{Name: "strict", Usage: "fail if any request is refused, unknown, broken off or wrong"},
 		),
 		Action: runLoad,
@@ -151,8 +126,13 @@
 		Tokens:   c.Int("tokens"),
 		Pause:    c.Duration("pause"),
 	}
-	for _, entry := range c.StringSlice("entry") {
-		load.Clients = append(load.Clients, trial.NewClient(entry, c.String("key")))
+	unready := c.StringSlice("avoid-unready")
+	for n, entry := range c.StringSlice("entry") {
+		client := trial.NewClient(entry, c.String("key"))
+		if n < len(unready) {
+			client.Health = "http://" + unready[n] + "/ready"
+		}
+		load.Clients = append(load.Clients, client)
 	}
 	tally, err := load.Run(ctx)
 	if err != nil {
--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -40,11 +40,28 @@
 }
 
 func newClient(c *cli.Command) (*client, error) {
-	secret, err := file.ReadSecret(c.String("secret-file"))
+	return openClient(c.StringSlice("operator"), c.String("secret-file"))
+}
+
+func openClient(addrs []string, secretFile string) (*client, error) {
+	secret, err := file.ReadSecret(secretFile)
 	if err != nil {
 		return nil, settingsError{err}
 	}
-	return &client{addrs: c.StringSlice("operator"), secret: secret, http: &http.Client{Timeout: callTimeout}}, nil
+	return &client{addrs: addrs, secret: secret, http: &http.Client{Timeout: callTimeout}}, nil
+}
+
+// Submit submits a ticket file and returns once it is accepted.
+func Submit(ctx context.Context, addrs []string, secretFile, path string) error {
+	t, err := loadTicket(path)
+	if err != nil {
+		return err
+	}
+	cl, err := openClient(addrs, secretFile)
+	if err != nil {
+		return err
+	}
+	return cl.call(ctx, http.MethodPost, "/v1/tickets", t, &operator.Reply{})
 }
 
 // call sends the request to one replica after the other until the leader
--- a/internal/trial/caller/client.go
+++ b/internal/trial/caller/client.go
@@ -27,6 +27,26 @@
 	Base string
 	Key  string
 	HTTP *http.Client
+	// Health is the address by which a balancer would ask whether the entry is
+	// ready; empty when nobody asks.
+	Health string
+}
+
+// IsReady asks as a balancer would.
+func (cl *Client) IsReady(ctx context.Context) bool {
+	if cl.Health == "" {
+		return true
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, cl.Health, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
 }
 
 // NewClient returns a client.
@@ -218,18 +238,33 @@
 	return a, nil
 }
 
-// Executions fetches a stand-in booking server's own counts by key.
-func Executions(ctx context.Context, base string) (map[string]int, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/executions", nil)
+// Fetch gets a JSON document, such as a stand-in's own counts.
+func Fetch(ctx context.Context, url string, value any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "booking server address")
+		return errors.Wrap(err, "address")
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, errors.Wrap(err, "get executions")
+		return errors.Wrap(err, "get")
 	}
 	defer func() { _ = response.Body.Close() }()
-	var counts map[string]int
-	err = json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&counts)
-	return counts, errors.Wrap(err, "parse executions")
+	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(value), "parse")
+}
+
+// Post sends an empty request, such as a fault for a stand-in.
+func Post(ctx context.Context, url string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "address")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "post")
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("%s answers %s", url, response.Status)
+	}
+	return nil
 }
--- a/internal/trial/caller/load.go
+++ b/internal/trial/caller/load.go
@@ -52,7 +52,7 @@
 		group.Go(func() error {
 			for turn := 0; time.Now().Before(end) && ctx.Err() == nil; turn++ {
 				chat := fmt.Sprintf("chat-%d", (n+turn*l.Callers)%l.Chats)
-				a, err := l.Clients[(n+turn)%len(l.Clients)].Chat(ctx, Chat{
+				a, err := l.client(ctx, n+turn).Chat(ctx, Chat{
 					Model: l.Model, Chat: chat, Text: fmt.Sprintf("%s, turn %d", chat, turn), Tokens: l.Tokens,
 				})
 				if err != nil {
@@ -70,6 +70,16 @@
 	return tally, err
 }
 
+// client returns the next entry that is ready, as a balancer would.
+func (l Load) client(ctx context.Context, turn int) *Client {
+	for n := range l.Clients {
+		if client := l.Clients[(turn+n)%len(l.Clients)]; client.IsReady(ctx) {
+			return client
+		}
+	}
+	return l.Clients[turn%len(l.Clients)]
+}
+
 func (t *Tally) add(a Answer, now time.Time, lastAt *time.Time) {
 	t.Results[a.Result]++
 	if a.Kind != "" {
