--- /dev/null
+++ b/internal/trial/measure/control.go
@@ -0,0 +1,336 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"slices"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"bronzerill"
+	"bronzerill/internal/control/holder"
+	"bronzerill/internal/control/replica"
+	"bronzerill/internal/control/state"
+	"bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/netrpc"
+)
+
+// Parameters of the control measurement.
+const (
+	controlSecret   = "secret-of-this-measurement"
+	steadyTime      = 5 * time.Second
+	ticketRounds    = 8
+	seedCustomers   = 1400
+	leaderPatience  = 15 * time.Second
+	holderPatience  = 30 * time.Second
+	ticketBatchSize = 200
+)
+
+// bench is one control replica in this process, on a real disk and real
+// connections.
+type bench struct {
+	ctx     context.Context
+	group   *errgroup.Group
+	addr    string
+	node    *replica.Node
+	machine *state.Machine
+	service *holder.Service
+	tickets uint64
+}
+
+// startBench starts the replica in a folder.
+func startBench(ctx context.Context, group *errgroup.Group, folder string) (*bench, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	b := &bench{ctx: ctx, group: group, addr: listener.Addr().String(), machine: state.NewMachine()}
+	members := replica.Members{List: []replica.Member{{Name: "control-1", Addr: b.addr, Voter: true}}}
+	if err := replica.InitStore(folder, "control-1", members); err != nil {
+		return nil, err
+	}
+	store, err := replica.OpenStore(folder)
+	if err != nil {
+		return nil, err
+	}
+	log := hclog.NewNullLogger()
+	secret := netrpc.Secret(controlSecret)
+	b.node, err = replica.NewNode(replica.NodeConfig{
+		Store: store, Machine: b.machine, Transport: replica.NewPeers(ctx, group, secret, log), Log: log, Clock: time.Now, Addr: b.addr,
+	})
+	if err != nil {
+		return nil, err
+	}
+	b.service = holder.NewService(holder.ServiceConfig{
+		Group: b.node, Machine: b.machine, Clock: time.Now, Log: log, LeaderAddr: func(string) string { return b.addr },
+	})
+	rpc := netrpc.NewServer(secret, log)
+	if err := rpc.Register(control.Service, holder.NewRPC(b.service)); err != nil {
+		return nil, err
+	}
+	group.Go(func() error {
+		err := b.node.Run(ctx)
+		if closeErr := store.Close(); err == nil {
+			err = closeErr
+		}
+		return err
+	})
+	group.Go(func() error { return rpc.Serve(ctx, listener) })
+	group.Go(func() error { return b.service.Run(ctx) })
+	return b, b.await(leaderPatience, func() bool { return b.node.HasLease(time.Now()) })
+}
+
+func (b *bench) await(patience time.Duration, done func() bool) error {
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if done() {
+			return nil
+		}
+	}
+	return errors.Errorf("not reached within %s", patience)
+}
+
+func (b *bench) submit(changes bronzerill.Changes) (uint64, error) {
+	b.tickets++
+	t := bronzerill.Ticket{Number: b.tickets, Changes: changes}
+	r, err := b.service.Propose(b.ctx, state.Command{Ticket: &state.TicketCommand{Ticket: t}})
+	return r.Revision, err
+}
+
+// seed fills the configuration to the letter's size.
+func (b *bench) seed() error {
+	for from := 0; from < seedCustomers; from += ticketBatchSize {
+		var changes bronzerill.Changes
+		if from == 0 {
+			changes.Pools = []bronzerill.Pool{{Name: "bronze-guides", Kind: bronzerill.PoolEngine, LoadMultiple: 1.5, Slots: 16, FloorSlots: 4, ColdSlots: 2, RampStep: 2}}
+		}
+		for n := from; n < from+ticketBatchSize; n++ {
+			changes.Customers = append(changes.Customers, bronzerill.Customer{
+				Name: fmt.Sprintf("customer-%d", n), KeyHash: fmt.Sprintf("%064x", n+1), Weight: 1,
+			})
+		}
+		if _, err := b.submit(changes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// keepers starts lease holders, half of them after the other.
+func (b *bench) keepers(ctx context.Context, group *errgroup.Group, count int, asAgents bool) []*control.Keeper {
+	var list []*control.Keeper
+	for n := range count {
+		cfg := control.KeeperConfig{
+			Client:  control.NewClient(control.ClientConfig{Addrs: []string{b.addr}, Secret: netrpc.Secret(controlSecret)}),
+			Holder:  fmt.Sprintf("holder-%t-%d", asAgents, n),
+			Renewal: control.EntryRenewal,
+			Clock:   time.Now,
+			Log:     hclog.NewNullLogger(),
+		}
+		if asAgents {
+			server := servers(n + 1)[n]
+			running := 0
+			cfg.Renewal = control.AgentRenewal
+			cfg.Generation = func() uint64 { return b.machine.Generation(server.Name) }
+			cfg.Status = func(time.Time) (control.Server, control.Load) {
+				running = (running + 1) % 16
+				return server, control.Load{Running: running, Limit: 16}
+			}
+		}
+		k := control.NewKeeper(cfg)
+		list = append(list, k)
+		delay := time.Duration(n) * cfg.Renewal / time.Duration(count)
+		group.Go(func() error {
+			time.Sleep(delay)
+			return k.Run(ctx)
+		})
+	}
+	return list
+}
+
+func allAt(list []*control.Keeper, revision uint64) bool {
+	return !slices.ContainsFunc(list, func(k *control.Keeper) bool {
+		v := k.View()
+		return v.Config.Revision() < revision || !v.HasLease(time.Now())
+	})
+}
+
+// Control prints control traffic, processor time and memory per holder, and the
+// time until a ticket is in force.
+func Control(ctx context.Context, w *tabwriter.Writer) error {
+	_, _ = fmt.Fprintln(w, "\nCONTROL: one replica and its lease holders in one process, 1,400 customers configured")
+	_, _ = fmt.Fprintln(w, "holders\trole\tbytes/s each way per holder\tCPU us per renewal, both ends\theap KB per holder, both ends\tticket at all holders p50\tp99")
+	for _, asAgents := range []bool{false, true} {
+		for _, count := range []int{10, 100, 1300} {
+			if err := controlRow(ctx, w, count, asAgents); err != nil {
+				return err
+			}
+		}
+	}
+	return w.Flush()
+}
+
+func controlRow(ctx context.Context, w *tabwriter.Writer, count int, asAgents bool) error {
+	folder, err := os.MkdirTemp("", "bronzerill-measure-")
+	if err != nil {
+		return errors.Wrap(err, "folder")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	ctx, cancel := context.WithCancel(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	defer func() {
+		cancel()
+		_ = group.Wait()
+	}()
+	b, err := startBench(ctx, group, folder)
+	if err != nil {
+		return err
+	}
+	if err := b.seed(); err != nil {
+		return err
+	}
+	before := heap()
+	list := b.keepers(ctx, group, count, asAgents)
+	if err := b.await(holderPatience, func() bool { return allAt(list, b.machine.Config().Revision()) }); err != nil {
+		return err
+	}
+	perHolder := float64(heap()-before) / float64(count) / 1024
+	bytes, cpu := steady(count, asAgents)
+	p50, p99, err := b.ticketTimes(list)
+	if err != nil {
+		return err
+	}
+	role := "entry"
+	if asAgents {
+		role = "agent"
+	}
+	_, _ = fmt.Fprintf(w, "%d\t%s\t%.0f\t%.0f\t%.0f\t%s\t%s\n", count, role, bytes, cpu, perHolder, p50.Round(time.Millisecond), p99.Round(time.Millisecond))
+	return nil
+}
+
+// steady measures a time without changes.
+func steady(count int, asAgents bool) (bytesPerSecond, microsPerRenewal float64) {
+	_, written := netrpc.Bytes()
+	cpu := cpuTime()
+	time.Sleep(steadyTime)
+	_, after := netrpc.Bytes()
+	used := cpuTime() - cpu
+	renewal := control.EntryRenewal
+	if asAgents {
+		renewal = control.AgentRenewal
+	}
+	renewals := float64(count) * steadyTime.Seconds() / renewal.Seconds()
+	// Both ends write in this process: half of the bytes go each way.
+	bytesPerSecond = float64(after-written) / 2 / steadyTime.Seconds() / float64(count)
+	return bytesPerSecond, float64(used.Microseconds()) / renewals
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func (b *bench) ticketTimes(list []*control.Keeper) (p50, p99 time.Duration, err error) {
+	var times []time.Duration
+	for n := range ticketRounds {
+		started := time.Now()
+		revision, err := b.submit(bronzerill.Changes{Zones: []bronzerill.Zone{{Name: "canela", Out: n%2 == 0}}})
+		if err != nil {
+			return 0, 0, err
+		}
+		if err := b.await(holderPatience, func() bool { return allAt(list, revision) }); err != nil {
+			return 0, 0, err
+		}
+		times = append(times, time.Since(started))
+	}
+	slices.Sort(times)
+	return times[len(times)/2], times[len(times)-1], nil
+}
+
+// Ledger prints what the log costs: bookings a second, and the sizes that grow.
+func Ledger(ctx context.Context, w *tabwriter.Writer) error {
+	_, _ = fmt.Fprintln(w, "\nLEDGER: one replica on this disk; a booking is one claim and one outcome")
+	_, _ = fmt.Fprintln(w, "callers\tbookings/s\tus per command\theap bytes per kept booking\tsnapshot bytes per booking\tsnapshot ms for all")
+	for _, callers := range []int{1, 64, 512} {
+		if err := ledgerRow(ctx, w, callers); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+const ledgerTime = 4 * time.Second
+
+func ledgerRow(ctx context.Context, w *tabwriter.Writer, callers int) error {
+	folder, err := os.MkdirTemp("", "bronzerill-measure-")
+	if err != nil {
+		return errors.Wrap(err, "folder")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	ctx, cancel := context.WithCancel(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	defer func() {
+		cancel()
+		_ = group.Wait()
+	}()
+	b, err := startBench(ctx, group, folder)
+	if err != nil {
+		return err
+	}
+	before := heap()
+	booked, err := b.book(callers)
+	if err != nil {
+		return err
+	}
+	used := float64(heap()) - float64(before)
+	started := time.Now()
+	snapshot, err := b.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	took := time.Since(started)
+	runtime.KeepAlive(b)
+	rate := float64(booked) / ledgerTime.Seconds()
+	_, _ = fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\n", callers, rate, 1e6/(2*rate), used/float64(booked), float64(len(snapshot))/float64(booked), float64(took.Microseconds())/1000)
+	return nil
+}
+
+// book runs claims and outcomes from many callers and returns their number.
+func (b *bench) book(callers int) (int, error) {
+	counts := make([]int, callers)
+	var group errgroup.Group
+	end := time.Now().Add(ledgerTime)
+	for n := range callers {
+		group.Go(func() error {
+			for time.Now().Before(end) {
+				key := state.Key{Customer: "hotel-serra", Pool: "stable-desk", Value: fmt.Sprintf("%d-%d", n, counts[n])}
+				attempt := state.Attempt{Agent: "server-1", ID: key.Value}
+				if _, err := b.service.Propose(b.ctx, state.Command{Claim: &state.Claim{Key: key, BodyHash: "h", Attempt: attempt}}); err != nil {
+					return err
+				}
+				reply := state.Reply{Status: 201, ContentType: "application/json", Body: []byte(`{"booked": "landau", "run": 1}`)}
+				if _, err := b.service.Propose(b.ctx, state.Command{Finish: &state.Finish{Key: key, Attempt: attempt, Reply: reply}}); err != nil {
+					return err
+				}
+				counts[n]++
+			}
+			return nil
+		})
+	}
+	err := group.Wait()
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total, err
+}
--- /dev/null
+++ b/internal/trial/measure/routing.go
@@ -0,0 +1,256 @@
+// Package measure makes the measurements of docs/MEASURES.md, each beside its
+// baselines in the same run.
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzerill/internal/entry/agent"
+	"bronzerill/internal/wire/control"
+)
+
+// routingSeed makes the runs repeatable.
+const routingSeed = 11
+
+func servers(n int) []control.Server {
+	list := make([]control.Server, n)
+	for i := range list {
+		list[i] = control.Server{
+			Name: fmt.Sprintf("server-%d", i), Pool: "bronze-guides", Zone: fmt.Sprintf("zone-%d", i%4),
+			Addr: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250), State: control.ServerReady,
+		}
+	}
+	return list
+}
+
+// chooser picks a server for a chat among those that live.
+type chooser func(chat uint64, live []control.Server) string
+
+// baselines are the choosers that the ring is held against.
+func baselines() map[string]chooser {
+	turn := 0
+	loads := make(map[string]int)
+	return map[string]chooser{
+		"plain hash": func(chat uint64, live []control.Server) string {
+			return live[chat%uint64(len(live))].Name
+		},
+		"round robin": func(_ uint64, live []control.Server) string {
+			turn++
+			return live[turn%len(live)].Name
+		},
+		"least load": func(_ uint64, live []control.Server) string {
+			best := live[0].Name
+			for _, s := range live[1:] {
+				if loads[s.Name] < loads[best] {
+					best = s.Name
+				}
+			}
+			loads[best]++
+			return best
+		},
+	}
+}
+
+func ringChooser() chooser {
+	var ring *agent.Ring
+	size := -1
+	first := ""
+	return func(chat uint64, live []control.Server) string {
+		// A change of membership always changes size or first server here.
+		if size != len(live) || first != live[0].Name {
+			ring = agent.NewRing(live)
+			size, first = len(live), live[0].Name
+		}
+		return ring.Server(ring.Choose(chat, 0)).Name
+	}
+}
+
+// churn is one change of membership.
+type churn struct {
+	name  string
+	apply func(random *rand.Rand, all []control.Server) []control.Server
+}
+
+// churnShare is the share of servers that come or go, in percent.
+const churnShare = 2
+
+func churns() []churn {
+	lost := func(random *rand.Rand, all []control.Server) []control.Server {
+		gone := max(1, len(all)*churnShare/100)
+		live := append([]control.Server(nil), all...)
+		random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+		return live[gone:]
+	}
+	return []churn{
+		{"2% lost", lost},
+		{"2% added", func(_ *rand.Rand, all []control.Server) []control.Server {
+			more := servers(len(all) + max(1, len(all)*churnShare/100))
+			return more
+		}},
+		{"2% flapped", func(_ *rand.Rand, all []control.Server) []control.Server { return all }},
+	}
+}
+
+// Routing prints cache reuse through churn, load skew, and the cost of a
+// decision.
+func Routing(w *tabwriter.Writer) error {
+	printReuse(w)
+	printSkew(w)
+	printCost(w)
+	return w.Flush()
+}
+
+func printReuse(w *tabwriter.Writer) {
+	_, _ = fmt.Fprintln(w, "CACHE REUSE: chats whose server lives and that return to it, percent")
+	_, _ = fmt.Fprintln(w, "servers\tchurn\tring\tplain hash\tround robin\tleast load")
+	for _, size := range []int{10, 100, 1250} {
+		for _, c := range churns() {
+			_, _ = fmt.Fprintf(w, "%d\t%s", size, c.name)
+			_, _ = fmt.Fprintf(w, "\t%.2f", reuse(size, c, ringChooser()))
+			for _, name := range []string{"plain hash", "round robin", "least load"} {
+				_, _ = fmt.Fprintf(w, "\t%.2f", reuse(size, c, baselines()[name]))
+			}
+			_, _ = fmt.Fprintln(w)
+		}
+	}
+}
+
+func reuse(size int, c churn, choose chooser) float64 {
+	random := rand.New(rand.NewPCG(routingSeed, 1))
+	all := servers(size)
+	const chats = 20_000
+	before := make([]string, chats)
+	for chat := range before {
+		before[chat] = choose(chatKey(chat), all)
+	}
+	live := c.apply(random, all)
+	alive := make(map[string]bool, len(live))
+	for _, s := range live {
+		alive[s.Name] = true
+	}
+	kept, counted := 0, 0
+	for chat, server := range before {
+		if !alive[server] {
+			continue
+		}
+		counted++
+		if choose(chatKey(chat), live) == server {
+			kept++
+		}
+	}
+	return 100 * float64(kept) / float64(counted)
+}
+
+func chatKey(chat int) uint64 { return xxhash.Sum64String(fmt.Sprintf("chat-%d", chat)) }
+
+// Parameters of the skew measurement.
+const (
+	skewMultiple = 1.25
+	skewMean     = 12
+	skewFloor    = 4
+	skewHops     = 16
+)
+
+// printSkew fills a pool to a mean load and prints the busiest server's load
+// over the mean, with and without the agents' bound.
+func printSkew(w *tabwriter.Writer) {
+	_, _ = fmt.Fprintf(w, "\nLOAD SKEW: busiest server over the mean, at a mean of %d; bound %.2f\n", skewMean, skewMultiple)
+	_, _ = fmt.Fprintln(w, "servers\tring with bound\tring without bound\trandom choice\tasked per request")
+	for _, size := range []int{10, 100, 1250} {
+		bounded, asked := fill(size, true)
+		unbounded, _ := fill(size, false)
+		_, _ = fmt.Fprintf(w, "%d\t%.2f\t%.2f\t%.2f\t%.2f\n", size, bounded, unbounded, fillRandomly(size), asked)
+	}
+}
+
+func fill(size int, bound bool) (skew, asked float64) {
+	ring := agent.NewRing(servers(size))
+	loads := make([]int, size)
+	total := size * skewMean
+	limit := int(skewMultiple * skewMean)
+	asks := 0
+	for chat := range total {
+		for nth := range skewHops * 8 {
+			at := ring.Choose(chatKey(chat), nth)
+			asks++
+			if !bound || loads[at] < max(skewFloor, limit) {
+				loads[at]++
+				break
+			}
+		}
+	}
+	return skewOf(loads), float64(asks) / float64(total)
+}
+
+func fillRandomly(size int) float64 {
+	random := rand.New(rand.NewPCG(routingSeed, 2))
+	loads := make([]int, size)
+	for range size * skewMean {
+		loads[random.IntN(size)]++
+	}
+	return skewOf(loads)
+}
+
+func skewOf(loads []int) float64 {
+	highest, sum := 0, 0
+	for _, load := range loads {
+		highest = max(highest, load)
+		sum += load
+	}
+	return float64(highest) * float64(len(loads)) / float64(sum)
+}
+
+func printCost(w *tabwriter.Writer) {
+	_, _ = fmt.Fprintln(w, "\nCOST OF A CHOICE, and of the table of servers in an entry")
+	_, _ = fmt.Fprintln(w, "servers\tns per choice\tbytes per server\tms to rebuild")
+	for _, size := range []int{10, 100, 1250, 10_000} {
+		list := servers(size)
+		started := time.Now()
+		ring := agent.NewRing(list)
+		rebuilt := time.Since(started)
+		_, _ = fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.2f\n", size, choiceCost(ring), memoryPerServer(size), float64(rebuilt.Microseconds())/1000)
+	}
+}
+
+func choiceCost(ring *agent.Ring) float64 {
+	const rounds = 1_000_000
+	started := time.Now()
+	sum := 0
+	for n := range rounds {
+		sum += ring.Choose(uint64(n)*0x9e3779b97f4a7c15, 0)
+	}
+	elapsed := time.Since(started)
+	runtime.KeepAlive(sum)
+	return float64(elapsed.Nanoseconds()) / rounds
+}
+
+// memoryPerServer counts the names and addresses, the view's map and the ring.
+func memoryPerServer(size int) float64 {
+	const copies = 20
+	before := heap()
+	var kept []any
+	for range copies {
+		list := servers(size)
+		view := make(map[string]control.Server, size)
+		for _, s := range list {
+			view[s.Name] = s
+		}
+		kept = append(kept, agent.NewRing(list), view)
+	}
+	used := heap() - before
+	runtime.KeepAlive(kept)
+	return float64(used) / float64(size*copies)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
