--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"bronzerill"
 )
@@ -14,16 +15,18 @@
 // Bounds of the node.
 const (
 	tickInterval = 20 * time.Millisecond
-	// snapshotEvery is the number of applied entries between snapshots.
-	snapshotEvery = 8192
-	inputQueue    = 1024
+	// defaultSnapshotEvery is the number of applied entries between snapshots.
+	defaultSnapshotEvery = 8192
+	inputQueue           = 1024
 )
 
 // Machine is the replicated state machine. The node calls it from one
 // goroutine, with committed entries in log order.
 type Machine interface {
 	Apply(index uint64, command []byte) any
-	Snapshot() ([]byte, error)
+	// Freeze returns a function that encodes the present state. It may run
+	// while further commands are applied.
+	Freeze() (encode func() ([]byte, error))
 	Restore(data []byte) error
 }
 
@@ -45,6 +48,9 @@
 	// Addr is this replica's own address, which its messages carry so that a
 	// replica outside the list can be answered.
 	Addr string
+	// SnapshotEvery is the number of applied entries between snapshots; 0 takes
+	// the default.
+	SnapshotEvery uint64
 }
 
 type proposal struct {
@@ -58,6 +64,11 @@
 	err   error
 }
 
+type snapshotResult struct {
+	snapshot Snapshot
+	err      error
+}
+
 type waiter struct {
 	term  uint64
 	reply chan proposalResult
@@ -84,8 +95,14 @@
 	proposals chan proposal
 	transfer  chan struct{}
 	waiters   map[uint64]waiter
-	// snapshotAt is the applied index of the last snapshot.
+	// snapshotAt is the applied index of the last snapshot, finished or under
+	// way.
 	snapshotAt uint64
+	// snapshots has room for the one result that may be under way, so that its
+	// writer never waits for a loop that has ended.
+	snapshots    chan snapshotResult
+	snapshotting bool
+	group        *errgroup.Group
 	// addrs holds the address that each sender gave last.
 	addrs  map[string]string
 	mu     sync.Mutex
@@ -95,6 +112,9 @@
 
 // NewNode loads the saved state and rebuilds the machine from it.
 func NewNode(cfg NodeConfig) (*Node, error) {
+	if cfg.SnapshotEvery == 0 {
+		cfg.SnapshotEvery = defaultSnapshotEvery
+	}
 	saved, err := cfg.Store.Load()
 	if err != nil {
 		return nil, err
@@ -124,6 +144,7 @@
 		waiters:    make(map[uint64]waiter),
 		snapshotAt: core.Applied(),
 		addrs:      make(map[string]string),
+		snapshots:  make(chan snapshotResult, 1),
 	}
 	n.publish()
 	return n, nil
@@ -192,6 +213,12 @@
 
 // Run drives the replica until ctx ends or the disk fails.
 func (n *Node) Run(ctx context.Context) error {
+	n.group, ctx = errgroup.WithContext(ctx)
+	n.group.Go(func() error { return n.loop(ctx) })
+	return n.group.Wait()
+}
+
+func (n *Node) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -204,18 +231,28 @@
 			n.locked(func(now time.Time) { n.drainMessages(now, m) })
 		case p := <-n.proposals:
 			n.locked(func(now time.Time) { n.drainProposals(now, p) })
+		case r := <-n.snapshots:
+			if err := n.finishSnapshot(r); err != nil {
+				return n.fail(err)
+			}
 		case <-n.transfer:
 			n.locked(func(time.Time) { n.core.TransferLeadership() })
 		}
 		if err := n.work(); err != nil {
-			n.mu.Lock()
-			n.failed = err
-			n.mu.Unlock()
-			return err
+			return n.fail(err)
 		}
 	}
 }
 
+// fail stops the replica for good: after an error of the disk nobody knows what
+// it holds.
+func (n *Node) fail(err error) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.failed = err
+	return err
+}
+
 func (n *Node) locked(step func(now time.Time)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -283,9 +320,7 @@
 		for _, e := range r.Committed {
 			n.apply(e)
 		}
-		if err := n.compact(); err != nil {
-			return err
-		}
+		n.startSnapshot()
 		n.mu.Lock()
 		n.publish()
 		n.mu.Unlock()
@@ -326,25 +361,45 @@
 	w.reply <- proposalResult{err: bronzerill.Errorf(bronzerill.KindNotLeader, "the lead was lost")}
 }
 
-func (n *Node) compact() error {
+// startSnapshot encodes and writes a snapshot beside the loop, so that its size
+// doesn't hold up heartbeats.
+func (n *Node) startSnapshot() {
 	applied := n.core.Applied()
-	if applied < n.snapshotAt+snapshotEvery {
-		return nil
-	}
-	data, err := n.cfg.Machine.Snapshot()
-	if err != nil {
-		return errors.Wrap(err, "take snapshot")
+	if n.snapshotting || applied < n.snapshotAt+n.cfg.SnapshotEvery {
+		return
 	}
+	n.snapshotting = true
+	n.snapshotAt = applied
 	n.mu.Lock()
 	term, _ := n.core.log.term(applied)
-	s := Snapshot{Index: applied, Term: term, Members: n.core.MembersAt(applied), Data: data}
+	s := Snapshot{Index: applied, Term: term, Members: n.core.MembersAt(applied)}
 	n.mu.Unlock()
-	if err := n.cfg.Store.SaveSnapshot(s); err != nil {
+	encode := n.cfg.Machine.Freeze()
+	n.group.Go(func() error {
+		data, err := encode()
+		if err == nil {
+			s.Data = data
+			err = n.cfg.Store.WriteSnapshot(s)
+		}
+		n.snapshots <- snapshotResult{s, err}
+		return nil
+	})
+}
+
+// finishSnapshot cuts the log, unless a received snapshot has overtaken ours.
+func (n *Node) finishSnapshot(r snapshotResult) error {
+	n.snapshotting = false
+	if r.err != nil {
+		return errors.Wrap(r.err, "write snapshot")
+	}
+	if r.snapshot.Index <= n.core.log.base {
+		return nil
+	}
+	if err := n.cfg.Store.UseSnapshot(r.snapshot); err != nil {
 		return err
 	}
-	n.snapshotAt = applied
-	n.locked(func(time.Time) { n.core.Compact(s) })
-	n.cfg.Log.Info("snapshot taken", "index", applied, "bytes", len(data))
+	n.locked(func(time.Time) { n.core.Compact(r.snapshot) })
+	n.cfg.Log.Info("snapshot taken", "index", r.snapshot.Index, "bytes", len(r.snapshot.Data))
 	return nil
 }
 
--- /dev/null
+++ b/internal/control/replica/node_test.go
@@ -0,0 +1,290 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"bronzerill"
+)
+
+// sum is a Machine that adds up the numbers it is given, each once.
+type sum struct {
+	mu    sync.Mutex
+	total uint64
+	count uint64
+}
+
+func (s *sum) Apply(_ uint64, command []byte) any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total += binary.BigEndian.Uint64(command)
+	s.count++
+	return s.total
+}
+
+func (s *sum) Freeze() func() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, s.total), s.count)
+	return func() ([]byte, error) {
+		time.Sleep(30 * time.Millisecond)
+		return data, nil
+	}
+}
+
+func (s *sum) Restore(data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total = binary.BigEndian.Uint64(data)
+	s.count = binary.BigEndian.Uint64(data[8:])
+	return nil
+}
+
+func (s *sum) get() (total, count uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total, s.count
+}
+
+// failingStore fails once its countdown has run out, before or after the write.
+type failingStore struct {
+	*BoltStore
+	left  int
+	after bool
+}
+
+var errDisk = errors.New("disk failed")
+
+func (s *failingStore) Save(r Ready) error {
+	s.left--
+	if s.left > 0 || s.left < -1 {
+		return s.BoltStore.Save(r)
+	}
+	if s.after {
+		if err := s.BoltStore.Save(r); err != nil {
+			return err
+		}
+	}
+	return errDisk
+}
+
+// process is one running node with its folder.
+type process struct {
+	folder  string
+	machine *sum
+	node    *Node
+	store   *BoltStore
+	stop    context.CancelFunc
+	group   *errgroup.Group
+}
+
+// groupOfNodes runs nodes on real files, with messages passed in memory.
+type groupOfNodes struct {
+	t         *testing.T
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+// Send passes a message on; a node that is down loses it.
+func (g *groupOfNodes) Send(m Message, _ string) {
+	g.mu.Lock()
+	p := g.processes[m.To]
+	g.mu.Unlock()
+	if p != nil && p.node != nil {
+		p.node.Deliver(m)
+	}
+}
+
+func (g *groupOfNodes) start(name, folder string, wrap func(*BoltStore) Store) *process {
+	store, err := OpenStore(folder)
+	require.NoError(g.t, err)
+	p := &process{folder: folder, machine: &sum{}, store: store}
+	p.node, err = NewNode(NodeConfig{
+		Store: wrap(store), Machine: p.machine, Transport: g, Log: hclog.NewNullLogger(),
+		Clock: time.Now, Seed: uint64(len(folder)) + uint64(name[0]), Addr: name, SnapshotEvery: 40,
+	})
+	require.NoError(g.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	p.group, ctx = errgroup.WithContext(ctx)
+	p.group.Go(func() error { return p.node.Run(ctx) })
+	g.mu.Lock()
+	g.processes[name] = p
+	g.mu.Unlock()
+	return p
+}
+
+func plain(s *BoltStore) Store { return s }
+
+// kill stops a process and returns the error it ended with.
+func (g *groupOfNodes) kill(name string) error {
+	g.mu.Lock()
+	p := g.processes[name]
+	delete(g.processes, name)
+	g.mu.Unlock()
+	p.stop()
+	err := p.group.Wait()
+	require.NoError(g.t, p.store.Close())
+	return err
+}
+
+func newGroup(t *testing.T, names ...string) *groupOfNodes {
+	g := &groupOfNodes{t: t, processes: make(map[string]*process)}
+	var members Members
+	for _, name := range names {
+		members = members.With(Member{Name: name, Addr: name, Voter: true})
+	}
+	for _, name := range names {
+		folder := t.TempDir()
+		require.NoError(t, InitStore(folder, name, members))
+		g.start(name, folder, plain)
+	}
+	return g
+}
+
+func (g *groupOfNodes) close() {
+	for name := range g.processes {
+		_ = g.kill(name)
+	}
+}
+
+func (g *groupOfNodes) leader() (string, *process) {
+	for range 3000 {
+		g.mu.Lock()
+		for name, p := range g.processes {
+			if p.node.HasLease(time.Now()) {
+				g.mu.Unlock()
+				return name, p
+			}
+		}
+		g.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Fail(g.t, "no leader within 30 s")
+	return "", nil
+}
+
+// add commits a number and returns the machine's answer.
+func (g *groupOfNodes) add(value uint64) uint64 {
+	for range 50 {
+		_, p := g.leader()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		total, err := p.node.Propose(ctx, binary.BigEndian.AppendUint64(nil, value))
+		cancel()
+		if err == nil {
+			return total.(uint64)
+		}
+		if bronzerill.KindOf(err) == bronzerill.KindNoQuorum {
+			require.Fail(g.t, "the outcome is unknown, and a sum can't be sent again", "%v", err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Fail(g.t, "not committed")
+	return 0
+}
+
+func (g *groupOfNodes) requireSame(want uint64) {
+	time.Sleep(2 * time.Second)
+	for name, p := range g.processes {
+		total, _ := p.machine.get()
+		require.Equal(g.t, want, total, "%s differs", name)
+	}
+}
+
+func TestRestartAndSnapshotCatchUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		defer g.close()
+		want := uint64(0)
+		addMany := func(n int) {
+			for range n {
+				want++
+				g.add(1)
+			}
+		}
+		addMany(100)
+		lead, _ := g.leader()
+		behind := map[string]string{"a": "b", "b": "c", "c": "a"}[lead]
+		folder := g.processes[behind].folder
+		require.NoError(t, g.kill(behind))
+		addMany(300)
+		p := g.start(behind, folder, plain)
+		g.requireSame(want)
+		_, count := p.machine.get()
+		assert.Equal(t, want, count)
+
+		folder = g.processes[lead].folder
+		require.NoError(t, g.kill(lead))
+		addMany(50)
+		g.start(lead, folder, plain)
+		g.requireSame(want)
+	})
+}
+
+func TestLostDiskIsRepaired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		defer g.close()
+		for range 120 {
+			g.add(1)
+		}
+		lead, p := g.leader()
+		lost := map[string]string{"a": "b", "b": "c", "c": "a"}[lead]
+		require.NoError(t, g.kill(lost))
+		folder := t.TempDir()
+		require.NoError(t, InitStore(folder, "d", Members{}))
+		g.start("d", folder, plain)
+		require.NoError(t, p.node.ChangeMembers(t.Context(), func(m Members) (Members, error) {
+			return m.With(Member{Name: "d", Addr: "d", Replaces: lost}), nil
+		}))
+		time.Sleep(3 * time.Second)
+		require.True(t, p.node.Status(time.Now()).Members.IsVoter("d"))
+		require.NoError(t, g.kill(lead))
+		assert.Equal(t, uint64(121), g.add(1), "the repaired group stands a second loss")
+	})
+}
+
+// TestDiskFailureAtEachWrite fails each of a replica's writes in turn, before
+// and after it took effect. The replica stops, and comes back from its folder
+// with nothing lost that was committed.
+func TestDiskFailureAtEachWrite(t *testing.T) {
+	for write := 1; write <= 12; write++ {
+		for _, after := range []bool{false, true} {
+			t.Run(fmt.Sprintf("write %d, after %t", write, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { runDiskFailure(t, write, after) })
+			})
+		}
+	}
+}
+
+func runDiskFailure(t *testing.T, write int, after bool) {
+	g := newGroup(t, "a", "b", "c")
+	defer g.close()
+	for range 10 {
+		g.add(1)
+	}
+	lead, _ := g.leader()
+	weak := map[string]string{"a": "b", "b": "c", "c": "a"}[lead]
+	folder := g.processes[weak].folder
+	require.NoError(t, g.kill(weak))
+	p := g.start(weak, folder, func(s *BoltStore) Store { return &failingStore{BoltStore: s, left: write, after: after} })
+	for range 30 {
+		g.add(1)
+	}
+	time.Sleep(time.Second)
+	assert.False(t, p.node.HasLease(time.Now()))
+	assert.ErrorIs(t, g.kill(weak), errDisk)
+	g.start(weak, folder, plain)
+	g.requireSame(40)
+}
--- a/internal/control/replica/store.go
+++ b/internal/control/replica/store.go
@@ -53,13 +53,19 @@
 // uncertain.
 type Store interface {
 	Load() (Saved, error)
+	// Save writes the state of the work, with a received snapshot.
 	Save(r Ready) error
-	SaveSnapshot(s Snapshot) error
+	// WriteSnapshot writes a snapshot of our own that isn't used yet. It may run
+	// beside Save.
+	WriteSnapshot(s Snapshot) error
+	// UseSnapshot makes a written snapshot the start of the log.
+	UseSnapshot(s Snapshot) error
 }
 
 // BoltStore is a Store in one file of an embedded database.
 type BoltStore struct {
-	db *bolt.DB
+	db     *bolt.DB
+	folder string
 }
 
 var _ Store = (*BoltStore)(nil)
@@ -135,7 +141,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "open %s", path)
 	}
-	return &BoltStore{db: db}, nil
+	return &BoltStore{db: db, folder: folder}, nil
 }
 
 // Close closes the file.
@@ -162,6 +168,9 @@
 		}
 		if found {
 			saved.Snapshot = &snapshot
+			if snapshot.Data, err = readSnapshotFile(s.folder, snapshot.Index); err != nil {
+				return err
+			}
 		}
 		return loadEntries(tx.Bucket(bucketLog), &saved)
 	})
@@ -192,6 +201,11 @@
 	if r.Hard == nil && len(r.Entries) == 0 && r.Snapshot == nil {
 		return nil
 	}
+	if r.Snapshot != nil {
+		if err := s.WriteSnapshot(*r.Snapshot); err != nil {
+			return err
+		}
+	}
 	err := s.db.Update(func(tx *bolt.Tx) error {
 		if r.Hard != nil {
 			if err := putRecord(tx.Bucket(bucketMeta), keyHard, *r.Hard); err != nil {
@@ -208,13 +222,23 @@
 	return errors.Wrap(err, "save replica state")
 }
 
-// SaveSnapshot replaces the log up to the snapshot's index.
-func (s *BoltStore) SaveSnapshot(snapshot Snapshot) error {
+// WriteSnapshot writes the data of a snapshot to a file of its own.
+func (s *BoltStore) WriteSnapshot(snapshot Snapshot) error {
+	return writeSnapshotFile(s.folder, snapshot.Index, snapshot.Data)
+}
+
+// UseSnapshot replaces the log up to the snapshot's index.
+func (s *BoltStore) UseSnapshot(snapshot Snapshot) error {
 	err := s.db.Update(func(tx *bolt.Tx) error { return putSnapshot(tx, snapshot, false) })
-	return errors.Wrap(err, "save snapshot")
+	if err != nil {
+		return errors.Wrap(err, "use snapshot")
+	}
+	return removeSnapshotFiles(s.folder, snapshot.Index)
 }
 
+// putSnapshot records which snapshot the log starts from; its data is in a file.
 func putSnapshot(tx *bolt.Tx, snapshot Snapshot, wholeLog bool) error {
+	snapshot.Data = nil
 	if err := putRecord(tx.Bucket(bucketMeta), keySnapshot, snapshot); err != nil {
 		return err
 	}
--- a/internal/control/replica/store_test.go
+++ b/internal/control/replica/store_test.go
@@ -31,7 +31,10 @@
 	s, folder := newStore(t)
 	require.NoError(t, s.Save(Ready{Hard: &HardState{Term: 3, Vote: "b"}, Entries: entries(1, 10, 2)}))
 	require.NoError(t, s.Save(Ready{Entries: entries(8, 9, 3)}))
-	require.NoError(t, s.SaveSnapshot(Snapshot{Index: 4, Term: 2, Data: []byte("state")}))
+	snapshot := Snapshot{Index: 4, Term: 2, Data: []byte("state")}
+	require.NoError(t, s.WriteSnapshot(snapshot))
+	require.NoError(t, s.UseSnapshot(snapshot))
+	require.NoError(t, s.WriteSnapshot(Snapshot{Index: 6, Term: 2, Data: []byte("a crash came before its use")}))
 	require.NoError(t, s.Close())
 
 	again, err := OpenStore(folder)
@@ -40,7 +43,7 @@
 	saved, err := again.Load()
 	require.NoError(t, err)
 	assert.Equal(t, HardState{Term: 3, Vote: "b"}, saved.Hard)
-	assert.Equal(t, uint64(4), saved.Snapshot.Index)
+	assert.Equal(t, snapshot, *saved.Snapshot)
 	assert.Equal(t, append(entries(5, 7, 2), entries(8, 9, 3)...), saved.Entries)
 }
 
@@ -76,6 +79,15 @@
 	assert.ErrorContains(t, err, "checksum differs")
 }
 
+func TestDamagedSnapshotIsSeen(t *testing.T) {
+	s, folder := newStore(t)
+	snapshot := Snapshot{Index: 4, Term: 2, Data: []byte("state")}
+	require.NoError(t, s.Save(Ready{Snapshot: &snapshot}))
+	require.NoError(t, os.WriteFile(snapshotPath(folder, 4), []byte("short"), 0o600))
+	_, err := s.Load()
+	assert.ErrorContains(t, err, "damaged")
+}
+
 func TestGapInTheLogIsSeen(t *testing.T) {
 	s, _ := newStore(t)
 	require.NoError(t, s.Save(Ready{Entries: entries(1, 3, 1)}))
--- a/internal/control/state/ledger.go
+++ b/internal/control/state/ledger.go
@@ -15,7 +15,7 @@
 	// KeyRetention is how long a key is remembered after its answer is dropped.
 	KeyRetention = 7 * 24 * time.Hour
 	// MaxRecords bounds the ledger; over it new claims are refused as not run.
-	MaxRecords = 2_000_000
+	MaxRecords = 500_000
 )
 
 // ClaimState is the state of a claim.
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -285,19 +286,23 @@
 	}
 }
 
-// Snapshot returns the machine's whole state.
-func (m *Machine) Snapshot() ([]byte, error) {
+// Freeze returns a function that encodes the state as it is now.
+func (m *Machine) Freeze() func() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	data, err := msgpack.Marshal(image{
-		Config:       m.config.DeltaSince(0),
+	config := m.config
+	i := image{
 		Records:      m.ledger.list(),
 		Outcomes:     m.outcomeList(),
 		OldestTicket: m.oldestTicket,
-		Generations:  m.generations,
-		Promises:     m.promises,
-	})
-	return data, errors.Wrap(err, "encode state")
+		Generations:  maps.Clone(m.generations),
+		Promises:     maps.Clone(m.promises),
+	}
+	return func() ([]byte, error) {
+		i.Config = config.DeltaSince(0)
+		data, err := msgpack.Marshal(i)
+		return data, errors.Wrap(err, "encode state")
+	}
 }
 
 // Restore replaces the machine's state by a snapshot's.
--- a/internal/entry/agent/ring.go
+++ b/internal/entry/agent/ring.go
@@ -37,9 +37,9 @@
 	shift uint
 }
 
-// NewRing returns a ring of the servers.
+// NewRing returns a ring of the servers, which must not change afterwards.
 func NewRing(servers []control.Server) *Ring {
-	r := &Ring{servers: slices.Clone(servers)}
+	r := &Ring{servers: servers}
 	if len(servers) == 0 {
 		return r
 	}
@@ -53,7 +53,7 @@
 }
 
 func (r *Ring) buildIndex() {
-	width := uint(bits.Len(uint(len(r.points))))
+	width := uint(bits.Len(uint(len(r.points) - 1)))
 	r.shift = 64 - width
 	r.index = make([]int32, 1<<width)
 	at := 0
--- a/internal/run/entry/fleet.go
+++ b/internal/run/entry/fleet.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"slices"
 	"sync/atomic"
 
@@ -25,14 +24,15 @@
 	if old := r.set.Load(); old != nil && old.version == v.ServersVersion {
 		return
 	}
-	byPool := make(map[string][]wire.Server)
-	for _, s := range v.Servers {
-		byPool[s.Pool] = append(byPool[s.Pool], s)
-	}
-	set := &ringSet{version: v.ServersVersion, byPool: make(map[string]*agent.Ring, len(byPool))}
-	for pool, servers := range byPool {
-		slices.SortFunc(servers, func(a, b wire.Server) int { return cmp.Compare(a.Name, b.Name) })
-		set.byPool[pool] = agent.NewRing(servers)
+	set := &ringSet{version: v.ServersVersion, byPool: make(map[string]*agent.Ring)}
+	for rest := v.Servers; len(rest) > 0; {
+		pool := rest[0].Pool
+		end := slices.IndexFunc(rest, func(s wire.Server) bool { return s.Pool != pool })
+		if end < 0 {
+			end = len(rest)
+		}
+		set.byPool[pool] = agent.NewRing(rest[:end])
+		rest = rest[end:]
 	}
 	r.set.Store(set)
 }
--- a/internal/trial/measure/control.go
+++ b/internal/trial/measure/control.go
@@ -260,7 +260,7 @@
 // Ledger prints what the log costs: bookings a second, and the sizes that grow.
 func Ledger(ctx context.Context, w *tabwriter.Writer) error {
 	_, _ = fmt.Fprintln(w, "\nLEDGER: one replica on this disk; a booking is one claim and one outcome")
-	_, _ = fmt.Fprintln(w, "callers\tbookings/s\tus per command\theap bytes per kept booking\tsnapshot bytes per booking\tsnapshot ms for all")
+	_, _ = fmt.Fprintln(w, "callers\tbookings/s\tus per command\theap bytes per kept booking\tsnapshot bytes per booking\tms that a snapshot holds up the log")
 	for _, callers := range []int{1, 64, 512} {
 		if err := ledgerRow(ctx, w, callers); err != nil {
 			return err
@@ -294,11 +294,12 @@
 	}
 	used := float64(heap()) - float64(before)
 	started := time.Now()
-	snapshot, err := b.machine.Snapshot()
+	encode := b.machine.Freeze()
+	took := time.Since(started)
+	snapshot, err := encode()
 	if err != nil {
 		return err
 	}
-	took := time.Since(started)
 	runtime.KeepAlive(b)
 	rate := float64(booked) / ledgerTime.Seconds()
 	_, _ = fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\n", callers, rate, 1e6/(2*rate), used/float64(booked), float64(len(snapshot))/float64(booked), float64(took.Microseconds())/1000)
--- a/internal/trial/measure/routing.go
+++ b/internal/trial/measure/routing.go
@@ -18,11 +18,13 @@
 // routingSeed makes the runs repeatable.
 const routingSeed = 11
 
+var zoneNames = []string{"zone-1", "zone-2", "zone-3", "zone-4"}
+
 func servers(n int) []control.Server {
 	list := make([]control.Server, n)
 	for i := range list {
 		list[i] = control.Server{
-			Name: fmt.Sprintf("server-%d", i), Pool: "bronze-guides", Zone: fmt.Sprintf("zone-%d", i%4),
+			Name: fmt.Sprintf("server-%d", i), Pool: "bronze-guides", Zone: zoneNames[i%len(zoneNames)],
 			Addr: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250), State: control.ServerReady,
 		}
 	}
@@ -230,18 +232,14 @@
 	return float64(elapsed.Nanoseconds()) / rounds
 }
 
-// memoryPerServer counts the names and addresses, the view's map and the ring.
+// memoryPerServer counts the table as an entry holds it, and the ring over it.
 func memoryPerServer(size int) float64 {
-	const copies = 20
+	copies := max(20, 100_000/size)
 	before := heap()
 	var kept []any
 	for range copies {
 		list := servers(size)
-		view := make(map[string]control.Server, size)
-		for _, s := range list {
-			view[s.Name] = s
-		}
-		kept = append(kept, agent.NewRing(list), view)
+		kept = append(kept, list, agent.NewRing(list))
 	}
 	used := heap() - before
 	runtime.KeepAlive(kept)
--- a/internal/wire/control/keeper.go
+++ b/internal/wire/control/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync/atomic"
 	"time"
 
@@ -125,10 +124,7 @@
 	}
 	base := k.staged
 	if base == nil {
-		base = maps.Clone(v.Servers)
-	}
-	if base == nil {
-		base = make(map[string]Server)
+		base = serverTable(v.Servers)
 	}
 	for _, s := range d.Servers {
 		base[s.Name] = s
@@ -142,5 +138,5 @@
 		return v
 	}
 	k.staged = nil
-	return v.WithServers(base)
+	return v.WithServers(sortServers(base))
 }
--- a/internal/wire/control/message.go
+++ b/internal/wire/control/message.go
@@ -19,7 +19,7 @@
 	EntryRenewal = time.Second
 	// AgentRenewal is the pause between an agent's renewals, which also carry
 	// its load.
-	AgentRenewal = 500 * time.Millisecond
+	AgentRenewal = 250 * time.Millisecond
 )
 
 // Service is the name of the control service on net/rpc.
--- a/internal/wire/control/view.go
+++ b/internal/wire/control/view.go
@@ -1,7 +1,10 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"time"
+	"unique"
 
 	"bronzerill"
 )
@@ -9,8 +12,9 @@
 // View is the immutable state of a lease holder.
 type View struct {
 	Config *bronzerill.Config
-	// Servers is the table of backend servers, by name; entries only.
-	Servers map[string]Server
+	// Servers is the table of backend servers, sorted by pool and name; entries
+	// only.
+	Servers []Server
 	// ServersVersion differs whenever Servers does.
 	ServersVersion uint64
 	// Mean is the mean load of the agent's pool at MeanAt.
@@ -41,9 +45,32 @@
 }
 
 // WithServers returns the view with another table of servers.
-func (v *View) WithServers(servers map[string]Server) *View {
+func (v *View) WithServers(servers []Server) *View {
 	next := *v
 	next.Servers = servers
 	next.ServersVersion++
 	return &next
 }
+
+// sortServers returns the table as a sorted list. Names that many rows share
+// are held once.
+func sortServers(table map[string]Server) []Server {
+	list := make([]Server, 0, len(table))
+	for _, s := range table {
+		s.Pool = unique.Make(s.Pool).Value()
+		s.Zone = unique.Make(s.Zone).Value()
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+func serverTable(list []Server) map[string]Server {
+	table := make(map[string]Server, len(list))
+	for _, s := range list {
+		table[s.Name] = s
+	}
+	return table
+}
