An agent's table no longer fills with finished answers

Seen: 1,621 answers/s at 64 callers through entry and agent against 3,776 straight, whatever the codec: 8,107 in 5 s, just the table's 8,192. Cause: finished answers stay 30 s for an entry that comes back, and counted against the bound; beyond it every request was refused as table-full. Change: finished answers are bounded by number and bytes and make room, oldest first; for 30 s after that, an unknown id is said to be unknown and not as not run.

--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,6 @@
 
 matrix: build
 	./scripts/matrix.sh
+
+measure: build
+	./scripts/measure.sh
--- a/cmd/bronzerill-trial/audit.go
+++ b/cmd/bronzerill-trial/audit.go
@@ -211,3 +211,23 @@
 		},
 	}
 }
+
+func counterCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "counter",
+		Usage: "print one number of a process's metrics",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "operator", Required: true},
+			&cli.StringFlag{Name: "secret-file", Required: true},
+			&cli.StringFlag{Name: "name", Required: true, Usage: "`NAME`, with dots between levels"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			value, err := command.Counter(ctx, c.String("operator"), c.String("secret-file"), c.String("name"))
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%.0f\n", value)
+			return nil
+		},
+	}
+}
--- a/cmd/bronzerill-trial/main.go
+++ b/cmd/bronzerill-trial/main.go
@@ -21,8 +21,8 @@
 		Name:  "bronzerill-trial",
 		Usage: "try out a running fleet",
 		Commands: []*cli.Command{
-			chatCommand(), bookCommand(), executionsCommand(), bookingsCommand(), engineCommand(),
-			faultCommand(), ticketsCommand(), loadCommand(), garbageCommand(), waitCommand(), hashCommand(),
+			chatCommand(), bookCommand(), executionsCommand(), counterCommand(), bookingsCommand(), engineCommand(),
+			faultCommand(), ticketsCommand(), latencyCommand(), loadCommand(), garbageCommand(), waitCommand(), hashCommand(),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- a/internal/agent/entry/answer.go
+++ b/internal/agent/entry/answer.go
@@ -148,9 +148,9 @@
 	return a.idleAt, a.readers == 0 && a.closedAt.IsZero()
 }
 
-// closedSince returns when the answer ended.
-func (a *answer) closedSince() (time.Time, bool) {
+// size returns the bytes that are kept.
+func (a *answer) size() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.closedAt, !a.closedAt.IsZero()
+	return cap(a.window)
 }
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/gob"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
 
 	"bronzerill"
@@ -160,7 +160,7 @@
 		http.Error(w, err.Error(), bronzerill.KindOf(err).Answer().Status)
 		return
 	}
-	stream := &stream{encoder: gob.NewEncoder(w), flusher: http.NewResponseController(w), clock: s.cfg.Clock}
+	stream := &stream{encoder: exchange.NewEncoder(w), flusher: http.NewResponseController(w), clock: s.cfg.Clock}
 	a, err := s.open(o)
 	if err != nil {
 		metrics.Refused(bronzerill.KindOf(err))
@@ -245,7 +245,9 @@
 			metrics.Failed(bronzerill.KindOf(err))
 			s.cfg.Log.Info("failed", "request", o.ID.Request, "attempt", o.ID.Attempt, "kind", bronzerill.KindOf(err).String(), "error", err.Error())
 		}
-		a.close(s.cfg.Clock(), err)
+		now := s.cfg.Clock()
+		a.close(now, err)
+		s.table.finished(now, a)
 		return nil
 	})
 	return a, nil
@@ -259,7 +261,7 @@
 
 // stream writes frames to one entry.
 type stream struct {
-	encoder *gob.Encoder
+	encoder *msgpack.Encoder
 	flusher *http.ResponseController
 	clock   func() time.Time
 }
--- /dev/null
+++ b/internal/agent/entry/table_test.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bronzerill"
+	"bronzerill/internal/wire/exchange"
+)
+
+var now = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func id(n int) exchange.ID { return exchange.ID{Request: fmt.Sprint("r", n), Attempt: "1"} }
+
+func attach(n int) exchange.Open { return exchange.Open{ID: id(n), Attach: true} }
+
+// run puts a whole answer of some bytes through the table.
+func run(t *testing.T, tab *table, n, bytes int) {
+	a := newAnswer(id(n), now, func() {})
+	require.Equal(t, bronzerill.KindNone, tab.add(a))
+	a.Head(200, "", false, false)
+	_, _ = a.Write(make([]byte, bytes))
+	a.close(now, nil)
+	tab.finished(now, a)
+}
+
+// TestTableNeverFillsWithFinishedAnswers runs more answers within the retention
+// than the table holds.
+func TestTableNeverFillsWithFinishedAnswers(t *testing.T) {
+	tab := newTable()
+	for n := range 3 * maxAnswers {
+		run(t, tab, n, 100)
+	}
+	assert.LessOrEqual(t, len(tab.answers), maxKept)
+}
+
+// TestDroppedAnswerIsNotCalledNotRun comes back for an answer that had to make
+// room. It ran, so the table must not say that it never will.
+func TestDroppedAnswerIsNotCalledNotRun(t *testing.T) {
+	tab := newTable()
+	for n := range maxKept + 1 {
+		run(t, tab, n, 100)
+	}
+	a := tab.find(now, attach(0))
+	assert.Equal(t, bronzerill.KindOutcomeUnknown, a.failure.Kind)
+	assert.Nil(t, tab.find(now, attach(maxKept)).failure, "the last one is still there")
+	later := now.Add(answerRetention + time.Second)
+	assert.Equal(t, bronzerill.KindAborted, tab.find(later, attach(-1)).failure.Kind)
+}
+
+func TestKeptBytesAreBounded(t *testing.T) {
+	tab := newTable()
+	for n := range 200 {
+		run(t, tab, n, windowBytes)
+	}
+	assert.LessOrEqual(t, tab.keptBytes, maxKeptBytes)
+	total := 0
+	for _, a := range tab.answers {
+		total += a.size()
+	}
+	assert.Equal(t, tab.keptBytes, total)
+}
+
+func TestRetention(t *testing.T) {
+	tab := newTable()
+	run(t, tab, 1, 100)
+	tab.tick(now.Add(answerRetention))
+	assert.NotNil(t, tab.answers[id(1)])
+	tab.tick(now.Add(answerRetention + time.Second))
+	assert.Nil(t, tab.answers[id(1)])
+}
+
+func TestWindowOfALongAnswer(t *testing.T) {
+	a := newAnswer(id(1), now, func() {})
+	a.Head(200, "", false, false)
+	part := make([]byte, 10_000)
+	for range 500 {
+		_, _ = a.Write(part)
+		assert.LessOrEqual(t, len(a.window), 2*windowBytes)
+	}
+	frames, last, _ := a.next(0, true)
+	assert.True(t, last)
+	assert.Equal(t, bronzerill.KindTruncated, frames[0].Failure.Kind)
+	frames, last, _ = a.next(500*10_000-5, true)
+	assert.False(t, last)
+	assert.Len(t, frames[0].Data, 5)
+}
+
+func TestIdleExchangeIsCanceled(t *testing.T) {
+	tab := newTable()
+	canceled := false
+	require.Equal(t, bronzerill.KindNone, tab.add(newAnswer(id(1), now, func() { canceled = true })))
+	tab.tick(now.Add(idleTimeout))
+	assert.False(t, canceled)
+	tab.tick(now.Add(idleTimeout + time.Second))
+	assert.True(t, canceled)
+}
--- a/internal/control/replica/node_test.go
+++ b/internal/control/replica/node_test.go
@@ -175,12 +175,12 @@
 	return "", nil
 }
 
-// add commits a number and returns the machine's answer.
-func (g *groupOfNodes) add(value uint64) uint64 {
+// add commits a one and returns the machine's answer.
+func (g *groupOfNodes) add() uint64 {
 	for range 50 {
 		_, p := g.leader()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		total, err := p.node.Propose(ctx, binary.BigEndian.AppendUint64(nil, value))
+		total, err := p.node.Propose(ctx, binary.BigEndian.AppendUint64(nil, 1))
 		cancel()
 		if err == nil {
 			return total.(uint64)
@@ -210,7 +210,7 @@
 		addMany := func(n int) {
 			for range n {
 				want++
-				g.add(1)
+				g.add()
 			}
 		}
 		addMany(100)
@@ -237,7 +237,7 @@
 		g := newGroup(t, "a", "b", "c")
 		defer g.close()
 		for range 120 {
-			g.add(1)
+			g.add()
 		}
 		lead, p := g.leader()
 		lost := map[string]string{"a": "b", "b": "c", "c": "a"}[lead]
@@ -251,7 +251,7 @@
 		time.Sleep(3 * time.Second)
 		require.True(t, p.node.Status(time.Now()).Members.IsVoter("d"))
 		require.NoError(t, g.kill(lead))
-		assert.Equal(t, uint64(121), g.add(1), "the repaired group stands a second loss")
+		assert.Equal(t, uint64(121), g.add(), "the repaired group stands a second loss")
 	})
 }
 
@@ -272,7 +272,7 @@
 	g := newGroup(t, "a", "b", "c")
 	defer g.close()
 	for range 10 {
-		g.add(1)
+		g.add()
 	}
 	lead, _ := g.leader()
 	weak := map[string]string{"a": "b", "b": "c", "c": "a"}[lead]
@@ -280,7 +280,7 @@
 	require.NoError(t, g.kill(weak))
 	p := g.start(weak, folder, func(s *BoltStore) Store { return &failingStore{BoltStore: s, left: write, after: after} })
 	for range 30 {
-		g.add(1)
+		g.add()
 	}
 	time.Sleep(time.Second)
 	assert.False(t, p.node.HasLease(time.Now()))
--- a/internal/entry/agent/client.go
+++ b/internal/entry/agent/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/gob"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"bronzerill"
 	"bronzerill/internal/operator/metrics"
@@ -23,7 +23,7 @@
 	attachPause   = 50 * time.Millisecond
 	cancelTimeout = time.Second
 	dialTimeout   = time.Second
-	idleConns     = 16
+	idleConns     = 256
 	idleTimeout   = 30 * time.Second
 	maxErrorBytes = 4 << 10
 )
@@ -156,7 +156,13 @@
 	if response.StatusCode != http.StatusOK {
 		return statusError(response)
 	}
-	return takeFrames(gob.NewDecoder(response.Body), silence, checker, out)
+	err = takeFrames(exchange.NewDecoder(response.Body), silence, checker, out)
+	if !errors.Is(err, errLost) && !errors.Is(err, errCaller) {
+		// The exchange has ended; read to the end of the response, so that its
+		// connection is kept.
+		_, _ = io.CopyN(io.Discard, response.Body, 1)
+	}
+	return err
 }
 
 func isDial(err error) bool {
@@ -164,7 +170,7 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-func takeFrames(decoder *gob.Decoder, silence *time.Timer, checker *exchange.Checker, out Output) error {
+func takeFrames(decoder *msgpack.Decoder, silence *time.Timer, checker *exchange.Checker, out Output) error {
 	for {
 		var f exchange.Frame
 		if err := decoder.Decode(&f); err != nil {
@@ -207,7 +213,7 @@
 
 func (c *Client) post(ctx context.Context, client *http.Client, addr, path string, o exchange.Open) (*http.Response, error) {
 	var body bytes.Buffer
-	if err := gob.NewEncoder(&body).Encode(&o); err != nil {
+	if err := exchange.NewEncoder(&body).Encode(&o); err != nil {
 		return nil, errors.Wrap(err, "encode exchange")
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, &body)
--- a/internal/entry/agent/exchange_test.go
+++ b/internal/entry/agent/exchange_test.go
@@ -302,3 +302,22 @@
 		assert.Zero(t, f.runs["r1"])
 	})
 }
+
+// TestConnectionIsKept runs exchanges one after the other over one connection,
+// whether they are answered or refused.
+func TestConnectionIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		f := startFleet(n, 1)
+		defer f.close()
+		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
+		defer client.Close()
+		for i := range 5 {
+			assert.NoError(t, client.Exchange(t.Context(), agentAddr, testOpen(fmt.Sprint("r", i)), &text{}))
+			refused := testOpen(fmt.Sprint("refused-", i))
+			refused.Server = "another"
+			assert.Error(t, client.Exchange(t.Context(), agentAddr, refused, &text{}))
+		}
+		assert.Equal(t, 1, n.dials)
+	})
+}
--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -135,3 +135,24 @@
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(value)
 }
+
+// Counter reads one number of a process's metrics; dots in the name lead into
+// nested documents.
+func Counter(ctx context.Context, addr, secretFile, name string) (float64, error) {
+	cl, err := openClient([]string{addr}, secretFile)
+	if err != nil {
+		return 0, err
+	}
+	var metrics map[string]json.RawMessage
+	if err := cl.call(ctx, http.MethodGet, "/debug/vars", nil, &metrics); err != nil {
+		return 0, err
+	}
+	path := strings.Split(name, ".")
+	for _, level := range path[:len(path)-1] {
+		if err := json.Unmarshal(metrics[level], &metrics); err != nil {
+			return 0, errors.Wrapf(err, "metric %s", name)
+		}
+	}
+	var value float64
+	return value, errors.Wrapf(json.Unmarshal(metrics[path[len(path)-1]], &value), "metric %s", name)
+}
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -52,6 +53,8 @@
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /ready", s.serveReady)
 	mux.Handle("GET /debug/vars", s.guard(expvar.Handler()))
+	mux.Handle("GET /debug/pprof/", s.guard(http.HandlerFunc(pprof.Index)))
+	mux.Handle("GET /debug/pprof/profile", s.guard(http.HandlerFunc(pprof.Profile)))
 	if s.cfg.API != nil {
 		mux.Handle("/v1/", s.guard(s.cfg.API))
 	}
--- a/internal/wire/exchange/message.go
+++ b/internal/wire/exchange/message.go
@@ -1,16 +1,16 @@
 // Package exchange is the protocol between an entry and an agent: one HTTP
-// request that opens an exchange, answered by a stream of gob frames. net/rpc
-// doesn't fit here, since it can't stream.
+// request that opens an exchange, answered by a stream of frames. net/rpc doesn't
+// fit here, since it can't stream.
 package exchange
 
 import (
-	"encoding/gob"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"bronzerill"
 )
@@ -165,7 +165,7 @@
 func DecodeOpen(r io.Reader) (Open, error) {
 	var o Open
 	limited := &io.LimitedReader{R: r, N: maxOpenBytes}
-	if err := gob.NewDecoder(limited).Decode(&o); err != nil {
+	if err := msgpack.NewDecoder(limited).Decode(&o); err != nil {
 		return Open{}, bronzerill.Errorf(bronzerill.KindBadRequest, "exchange: %v", err)
 	}
 	if len(o.Body) > MaxBodyBytes {
@@ -180,6 +180,18 @@
 	return o, nil
 }
 
+// NewEncoder returns an encoder of the protocol's messages. Structs are encoded
+// as arrays, without names.
+func NewEncoder(w io.Writer) *msgpack.Encoder {
+	e := msgpack.NewEncoder(w)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	return e
+}
+
+// NewDecoder returns a decoder of the protocol's messages.
+func NewDecoder(r io.Reader) *msgpack.Decoder { return msgpack.NewDecoder(r) }
+
 // Checker follows an answer and reports what is wrong with it.
 type Checker struct {
 	id     ID
