--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,83 @@
+#!/usr/bin/env bash
+# Breaks each mechanism on a scratch copy and expects its proof to fail.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+SCRATCH=$(mktemp -d)
+trap 'rm -rf "$SCRATCH"' EXIT
+
+survived=0
+# mutant NAME FILE SED-EXPRESSION PACKAGE TEST
+mutant() {
+	local name=$1 file=$2 edit=$3 package=$4 test=$5
+	rm -rf "$SCRATCH/tree"
+	mkdir "$SCRATCH/tree"
+	git ls-files -z | xargs -0 cp --parents -t "$SCRATCH/tree"
+	sed -i -E "$edit" "$SCRATCH/tree/$file"
+	if cmp -s "$file" "$SCRATCH/tree/$file"; then
+		echo "NOT APPLIED  $name"
+		survived=$((survived + 1))
+	elif (cd "$SCRATCH/tree" && go vet "./$package" >/dev/null 2>&1 && timeout 120 go test -timeout 100s -count=1 -run "$test" "./$package" >/dev/null 2>&1); then
+		echo "SURVIVED     $name ($test)"
+		survived=$((survived + 1))
+	elif ! (cd "$SCRATCH/tree" && go vet "./$package" >/dev/null 2>&1); then
+		echo "NOT BUILT    $name"
+		survived=$((survived + 1))
+	else
+		echo "caught       $name ($test)"
+	fi
+}
+
+R=internal/control/replica S=internal/control/state H=internal/control/holder
+A=internal/agent E=internal/entry/agent W=internal/wire/control
+
+mutant "a majority decides before every folder is known" $R/members.go 's/if !m\.FoldersKnown\(\)/if false/' $R TestLostDisk
+mutant "a changed folder is believed" $R/step.go 's/return known == m\.Identity/return true/' $R TestLostDisk
+mutant "votes are given inside a leader's lease" $R/step.go 's/return now\.Sub\(c\.heardAt\) < ElectionTimeout/return false/' $R 'TestCutLeader|TestSeeded|TestOneWay|TestFrozen'
+mutant "a leader's lease outlives its quorum" $R/core.go 's/c\.quorumAck\(now\) < LeaderLease$/c.quorumAck(now) < 10*LeaderLease/' $R 'TestCutLeader|TestSeeded|TestFrozen'
+mutant "entries of older terms are committed by count" $R/step.go 's/ok \&\& term == c\.hard\.Term \{/ok \&\& term > 0 {/' $R TestSeeded
+mutant "a vote is forgotten" $R/core.go 's/voted := .*/voted := false/' $R 'TestSeeded'
+mutant "a learner votes before it caught up" $R/repair.go 's/case !m\.Voter \&\& c\.caughtUp\(m\.Name\) \&\& c\.heard.*/case !m.Voter:/' $R TestLearner
+mutant "a failed disk is written on" $R/node.go 's/return n\.fail\(err\)/_ = err/' $R TestDiskFailure
+mutant "unknown claims may run again" $S/ledger.go 's/known\.State = ClaimUnknown/known.State = ClaimReleased/' $A/service 'TestAtMostOnce|TestFaultAtEachStep'
+mutant "claims of a lost process are given back" $S/ledger.go 's/r\.State = ClaimUnknown/r.State = ClaimReleased/' $A/service 'TestAtMostOnce|TestFaultAtEachStep'
+mutant "a late claim is granted after its release" $S/ledger.go 's/if known\.Attempt == c\.Attempt \{$/if false {/' $A/service 'TestFaultAtEachStep'
+mutant "old processes may claim" $S/machine.go 's/c\.Generation != m\.generations/false \&\& c.Generation != m.generations/' $A/service 'TestAtMostOnce|TestFaultAtEachStep'
+mutant "another body under a key is replayed" $S/ledger.go 's/if known\.BodyHash != c\.BodyHash/if false/' $A/service TestOtherBody
+mutant "the lease isn't checked before a call" $A/service/runner.go 's/\|\| !r\.cfg\.View\(\)\.HasLease\(r\.cfg\.Clock\(\)\)/|| false/' $A/service TestLapsedLease
+mutant "a call's connection is kept" $A/service/client.go 's/DisableKeepAlives:  true/DisableKeepAlives:  false/' $A/service 'TestClient'
+mutant "a lost answer counts as not sent" $A/service/client.go 's/if connected \{/if false {/' $A/service 'TestClientAgainst'
+mutant "a rival ticket wins" $S/machine.go 's/if known\.Digest == digest \{/if true {/' $S 'TestTicketNumbers|TestRacing'
+mutant "a ticket's number can be used again" $S/machine.go 's/^\tm\.outcomes\[o\.Number\] = o/\t_ = o/' $S 'TestTicketNumbers|TestRacing'
+mutant "a lease counts from the reply" $W/view.go 's/sentAt\.Add\(LeaseTerm\)/sentAt.Add(2 * LeaseTerm)/' $H TestLeases
+mutant "revisions may fall" ./config.go 's/if d\.To <= c\.revision \{/if d.To == c.revision {/' $H TestLeases
+mutant "in force is said too early" $H/table.go 's/l\.revision < revision \&\& now\.Before\(l\.until\)/false/' $H TestLeases
+mutant "a new leader vouches at once" $H/table.go 's/now\.Sub\(t\.since\) >= settleTime/true/' $H 'TestLeases|TestReportWaits'
+mutant "a silent agent counts" $H/table.go 's/r\.State\.TakesWork\(\) \&\& now\.Before\(r\.until\)/r.State.TakesWork()/' $H TestReportCounts
+mutant "the load bound is loose" $A/admission/gate.go 's/p\.LoadMultiple \* v\.Mean/2 * p.LoadMultiple * v.Mean/' $A/admission 'TestAdmit|TestLoadBound'
+mutant "an old mean counts" $A/admission/gate.go 's/now\.Sub\(v\.MeanAt\) > meanMaxAge/false/' $A/admission TestAdmit
+mutant "a cold server is taken for warm" $A/admission/ramp.go 's/min\(p\.Slots, p\.ColdSlots\+r\.finished\/p\.RampStep\)/p.Slots/' $A/admission 'TestAdmit|TestLoadBound|TestRamp'
+mutant "a zone that is out takes work" $A/admission/gate.go 's/case zone\.Out:/case false:/' $A/admission TestAdmit
+mutant "a lapsed lease admits" $A/admission/gate.go 's/case !v\.HasLease\(now\):/case false:/' $A/admission TestAdmit
+mutant "a draining server takes work" $A/admission/gate.go 's/case g\.draining \|\| v\.Leaving:/case false:/' $A/admission TestAdmit
+mutant "a surge takes everything" $A/admission/gate.go 's/\&\& g\.overShare\(a, limit\)/\&\& false/' $A/admission TestSurge
+mutant "a cut answer ends cleanly" internal/wire/exchange/message.go 's/case !c\.headed \|\| end\.Bytes != c\.offset:/case false:/' internal/wire/exchange TestChecker
+mutant "ids aren't compared" internal/wire/exchange/message.go 's/f\.Head == nil \|\| f\.Head\.ID != c\.id/f.Head == nil/' internal/wire/exchange TestChecker
+mutant "an attach starts the run" $A/entry/table.go 's/if a == nil \&\& o\.Attach \{/if false {/' $E 'TestLateRequest|TestAnswerIsWhole'
+mutant "a replaced agent says not run" $A/entry/server.go 's/if o\.Attach \&\& o\.Generation != s\.cfg\.Generation\(\)/if false/' $E TestAgentReplaced
+mutant "a dropped answer is called not run" $A/entry/table.go 's/kind = bronzerill\.KindOutcomeUnknown/kind = bronzerill.KindAborted/' $A/entry TestDroppedAnswer
+mutant "silence isn't noticed" $E/client.go 's/silence := time\.AfterFunc\(exchange\.SilenceTimeout/silence := time.AfterFunc(100*time.Hour/' $E TestAnswerIsWhole
+mutant "a stream without its mark is whole" $A/engine/runner.go 's/if e\.done \{/if e.done || true {/' $A/engine TestAnswersOfEngine
+mutant "crossed chunks pass" $A/engine/events.go 's/if c\.ID != e\.chunkID \|\| .*\{/if false {/' $A/engine TestAnswersOfEngine
+mutant "a crash isn't waited for" $A/engine/runner.go 's/^\t\tr\.awaitCrash\(ctx, generation\)/\t\t_ = generation/' $A/engine TestCrashHolds
+mutant "a doubled crash counts twice" $S/suspect.go 's/s\.LastCrash == crash\.ID \|\|/false ||/' $S TestCrashMakes
+mutant "two trials at once" $S/suspect.go 's/other\.Pool == s\.Pool \&\& other\.State == bronzerill\.SuspectTrial/false/' $S TestCrashMakes
+mutant "a second crash doesn't quarantine" $S/suspect.go 's/if s\.Crashes >= crashesToQuarantine/if false/' $S 'TestAtMostTwo|TestCrashMakes'
+mutant "a lost trial is forgotten" $S/machine.go 's/^\tm\.change\(lostTrials\(m\.config, now, a\.Agent\)\)/\t_ = lostTrials/' $S 'TestTrialOnALost|TestAtMostTwo'
+mutant "retries have no budget" $E/budget.go 's/if b\.tokens < 1 \{/if false {/' $E TestBudget
+mutant "fencing isn't sent" $A/engine/client.go 's/case http\.StatusConflict:/case http.StatusTeapot:/' $A/engine TestOrders
+
+if [ "$survived" -gt 0 ]; then
+	echo "$survived mutants were not caught"
+	exit 1
+fi
+echo "every mutant was caught"
