--- a/internal/control/replica/core_test.go
+++ b/internal/control/replica/core_test.go
@@ -275,3 +275,18 @@
 		n.disk.entries = n.disk.entries[1:]
 	}
 }
+
+// TestFirstStartNeedsEveryReplica keeps one replica from hearing the others. It
+// would not know their folders, and could be led astray later by one that lost
+// its disk; so the group serves nothing before it has heard.
+func TestFirstStartNeedsEveryReplica(t *testing.T) {
+	c := newCluster(t, 10, "a", "b", "c")
+	c.cut["a>c"] = true
+	c.cut["b>c"] = true
+	c.run(10 * time.Second)
+	assert.Empty(t, c.leader())
+	c.heal()
+	c.mustCommit(1)
+	c.isolate("c")
+	c.mustCommit(2)
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -30,7 +30,7 @@
 R=internal/control/replica S=internal/control/state H=internal/control/holder
 A=internal/agent E=internal/entry/agent W=internal/wire/control
 
-mutant "a majority decides before every folder is known" $R/members.go 's/if !m\.FoldersKnown\(\)/if false/' $R TestLostDisk
+mutant "a majority decides before every folder is known" $R/members.go 's/if !m\.FoldersKnown\(\)/if false/' $R TestFirstStart
 mutant "a changed folder is believed" $R/step.go 's/return known == m\.Identity/return true/' $R TestLostDisk
 mutant "votes are given inside a leader's lease" $R/step.go 's/return now\.Sub\(c\.heardAt\) < ElectionTimeout/return false/' $R 'TestCutLeader|TestSeeded|TestOneWay|TestFrozen'
 mutant "a leader's lease outlives its quorum" $R/core.go 's/c\.quorumAck\(now\) < LeaderLease$/c.quorumAck(now) < 10*LeaderLease/' $R 'TestCutLeader|TestSeeded|TestFrozen'
