A departing server hands its chats' caches to the next in hash order

Cause: a chat whose server leaves by plan (zone out, the platform's list, SIGTERM) came back cold. The ring moves to a package of its own, since agents and entries share it.

--- a/internal/agent/engine/chats.go
+++ b/internal/agent/engine/chats.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,10 +46,21 @@
 }
 
 // recent returns at most limit chats, the last served first.
-func (c *chats) recent(limit int) []string {
+func (c *chats) recent(limit int) []ServedChat {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	keys := c.cache.Keys()
 	slices.Reverse(keys)
-	return keys[:min(limit, len(keys))]
+	list := make([]ServedChat, 0, limit)
+	for _, key := range keys[:min(limit, len(keys))] {
+		customer, chat, _ := strings.Cut(key, "/")
+		list = append(list, ServedChat{customer, chat})
+	}
+	return list
+}
+
+// ServedChat is a chat that the engine has served.
+type ServedChat struct {
+	Customer string
+	Chat     string
 }
--- a/internal/agent/engine/runner.go
+++ b/internal/agent/engine/runner.go
@@ -258,4 +258,4 @@
 }
 
 // Recent returns the chats that were served last, for a hand-over.
-func (r *Runner) Recent(limit int) []string { return r.chats.recent(limit) }
+func (r *Runner) Recent(limit int) []ServedChat { return r.chats.recent(limit) }
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 // tickInterval is the pause between runs of the table's systems.
 const tickInterval = 500 * time.Millisecond
 
+// maxCacheBytes bounds the cache of one chat.
+const maxCacheBytes = 64 << 20
+
 // Sink takes the answer of one exchange.
 type Sink interface {
 	Head(status int, contentType string, warm, replayed bool)
@@ -59,6 +63,8 @@
 	Secret string
 	Runner Runner
 	Trials Trials
+	// Import hands the KV cache of a chat to the server; nil without an engine.
+	Import func(ctx context.Context, chat string, data []byte) error
 	// View returns the agent's lease and configuration.
 	View  func() *control.View
 	Clock func() time.Time
@@ -126,6 +132,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+exchange.PathOpen, s.serveOpen)
 	mux.HandleFunc("POST "+exchange.PathCancel, s.serveCancel)
+	mux.HandleFunc("POST "+exchange.PathCache+"{chat}", s.serveCache)
 	return mux
 }
 
@@ -151,6 +158,28 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// serveCache takes the cache of a chat that comes from a departing server.
+func (s *Server) serveCache(w http.ResponseWriter, r *http.Request) {
+	if !s.authorized(w, r) {
+		return
+	}
+	if s.cfg.Import == nil {
+		http.Error(w, "no engine here", http.StatusNotFound)
+		return
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCacheBytes))
+	if err == nil {
+		err = s.cfg.Import(r.Context(), r.PathValue("chat"), data)
+	}
+	if err != nil {
+		s.cfg.Log.Warn("cache not taken over", "error", err.Error())
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	metrics.Count(metrics.EventTakeover)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Server) serveOpen(w http.ResponseWriter, r *http.Request) {
 	if !s.authorized(w, r) {
 		return
--- a/internal/entry/agent/forwarder.go
+++ b/internal/entry/agent/forwarder.go
@@ -13,6 +13,7 @@
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/ring"
 )
 
 // Bounds of the search for a server.
@@ -27,7 +28,7 @@
 type Fleet interface {
 	View() *control.View
 	// Ring returns the ring of a pool in the present view.
-	Ring(pool string) *Ring
+	Ring(pool string) *ring.Ring
 }
 
 // CrashReporter tells control what ran on a server that is gone.
@@ -102,7 +103,7 @@
 	f.budget.Requested()
 	now := f.cfg.Clock()
 	s := &search{Forwarder: f, q: q, out: &headOutput{Output: out}, patience: now.Add(q.Policy.Patience())}
-	key := Key(q.Open.Customer, q.Open.Chat, q.Open.Print)
+	key := ring.Key(q.Open.Customer, q.Open.Chat, q.Open.Print)
 	for {
 		plan, err := s.plan(key)
 		if err != nil {
--- a/internal/entry/agent/plan.go
+++ b/internal/entry/agent/plan.go
@@ -1,3 +1,5 @@
+// Package agent speaks to agents from an entry: it chooses the server for a
+// request, opens exchanges and keeps answers whole.
 package agent
 
 import (
@@ -5,6 +7,7 @@
 
 	"bronzerill"
 	"bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/ring"
 )
 
 // choicesPerHop bounds how far down the order of choices one round looks.
@@ -22,7 +25,7 @@
 
 // Planner makes plans over one immutable view of the servers.
 type Planner struct {
-	Ring     *Ring
+	Ring     *ring.Ring
 	Config   *bronzerill.Config
 	Backoffs *Backoffs
 }
--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -49,6 +49,7 @@
 	EventStaleOrder   Event = "order-stale"
 	EventEngineResume Event = "engine-stream-resumed"
 	EventHandover     Event = "cache-handed-over"
+	EventTakeover     Event = "cache-taken-over"
 )
 
 // Count counts an event.
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -49,7 +49,12 @@
 	generation atomic.Uint64
 	// registeredAt is when this process became the server's only writer.
 	registeredAt atomic.Pointer[time.Time]
+	// engine and engineClient are nil beside a plain service.
 	engine       *engine.Runner
+	engineClient *engine.Client
+	draining     atomic.Bool
+	// handedOver is set once the caches of this departure are handed over.
+	handedOver atomic.Bool
 }
 
 // Start opens the entries' port and registers the process.
@@ -68,6 +73,8 @@
 		Log:        cfg.Log,
 		Generation: r.generation.Load,
 		Status:     r.status,
+		// Only a departing agent needs to know where its chats go.
+		WantServers: r.departs,
 	})
 	r.server = entry.NewServer(ctx, group, entry.ServerConfig{
 		Name:       settings.Server,
@@ -80,6 +87,7 @@
 		Generation: r.generation.Load,
 		Pool:       settings.Pool,
 		Zone:       cfg.Settings.Zone,
+		Import:     r.importCache(),
 	})
 	r.serve(ctx, listener)
 	group.Go(func() error { return r.server.Run(ctx) })
@@ -108,6 +116,7 @@
 
 func (r *Role) startEngine(ctx context.Context) entry.Runner {
 	client := engine.NewClient(r.settings.Backend)
+	r.engineClient = client
 	r.engine = engine.NewRunner(engine.RunnerConfig{
 		Client: client,
 		Pool:   r.settings.Pool,
@@ -120,11 +129,20 @@
 		Crash:  r.reportCrash,
 	})
 	r.group.Go(func() error { return every(ctx, pollInterval, r.engine.Poll) })
+	r.group.Go(func() error { return every(ctx, pollInterval, r.watchDeparture) })
 	orders := newOrders(client, r.settings.Server, r.cfg.Log)
 	r.group.Go(func() error { return every(ctx, pollInterval, func(ctx context.Context) { r.giveOrder(ctx, orders) }) })
 	return r.engine
 }
 
+// importCache returns how a cache reaches the engine, or nil without one.
+func (r *Role) importCache() func(ctx context.Context, chat string, data []byte) error {
+	if r.engineClient == nil {
+		return nil
+	}
+	return r.engineClient.ImportCache
+}
+
 // every runs a step at each interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, step func(ctx context.Context)) error {
 	ticker := time.NewTicker(interval)
@@ -210,9 +228,10 @@
 // Drain refuses new work at once and waits for what runs.
 func (r *Role) Drain(ctx context.Context) error {
 	r.server.WithGate(func(g *admission.Gate) { g.Drain() })
+	r.draining.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, r.settings.DrainTimeout.Duration)
 	defer cancel()
-	for r.server.Busy() {
+	for r.server.Busy() || r.engine != nil && !r.handedOver.Load() {
 		select {
 		case <-ctx.Done():
 			return errors.Errorf("requests still run after %s", r.settings.DrainTimeout.Duration)
--- a/internal/run/entry/fleet.go
+++ b/internal/run/entry/fleet.go
@@ -6,12 +6,13 @@
 
 	"bronzerill/internal/entry/agent"
 	wire "bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/ring"
 )
 
 // ringSet holds the rings of one version of the server table.
 type ringSet struct {
 	version uint64
-	byPool  map[string]*agent.Ring
+	byPool  map[string]*ring.Ring
 }
 
 // rings keeps a ring for each pool, rebuilt when the server table changes.
@@ -24,14 +25,14 @@
 	if old := r.set.Load(); old != nil && old.version == v.ServersVersion {
 		return
 	}
-	set := &ringSet{version: v.ServersVersion, byPool: make(map[string]*agent.Ring)}
+	set := &ringSet{version: v.ServersVersion, byPool: make(map[string]*ring.Ring)}
 	for rest := v.Servers; len(rest) > 0; {
 		pool := rest[0].Pool
 		end := slices.IndexFunc(rest, func(s wire.Server) bool { return s.Pool != pool })
 		if end < 0 {
 			end = len(rest)
 		}
-		set.byPool[pool] = agent.NewRing(rest[:end])
+		set.byPool[pool] = ring.New(rest[:end])
 		rest = rest[end:]
 	}
 	r.set.Store(set)
@@ -48,10 +49,10 @@
 // View returns the present lease and configuration.
 func (f *fleet) View() *wire.View { return f.keeper.View() }
 
-var emptyRing = agent.NewRing(nil)
+var emptyRing = ring.New(nil)
 
 // Ring returns the ring of a pool.
-func (f *fleet) Ring(pool string) *agent.Ring {
+func (f *fleet) Ring(pool string) *ring.Ring {
 	set := f.rings.set.Load()
 	if set == nil || set.byPool[pool] == nil {
 		return emptyRing
--- a/internal/run/entry/role.go
+++ b/internal/run/entry/role.go
@@ -59,6 +59,8 @@
 		Clock:   time.Now,
 		Log:     cfg.Log,
 		Changed: rings.update,
+		// An entry always needs the table.
+		WantServers: func() bool { return true },
 	})
 	client := agent.NewClient(agent.ClientConfig{Secret: cfg.Secret})
 	forwarder := agent.NewForwarder(agent.ForwarderConfig{
--- a/internal/trial/measure/control.go
+++ b/internal/trial/measure/control.go
@@ -133,6 +133,8 @@
 			Renewal: control.EntryRenewal,
 			Clock:   time.Now,
 			Log:     hclog.NewNullLogger(),
+			// Only entries follow the table of servers.
+			WantServers: func() bool { return !asAgents },
 		}
 		if asAgents {
 			server := servers(n + 1)[n]
--- a/internal/trial/measure/routing.go
+++ b/internal/trial/measure/routing.go
@@ -11,8 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"bronzerill/internal/entry/agent"
 	"bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/ring"
 )
 
 // routingSeed makes the runs repeatable.
@@ -60,16 +60,16 @@
 }
 
 func ringChooser() chooser {
-	var ring *agent.Ring
+	var present *ring.Ring
 	size := -1
 	first := ""
 	return func(chat uint64, live []control.Server) string {
 		// A change of membership always changes size or first server here.
 		if size != len(live) || first != live[0].Name {
-			ring = agent.NewRing(live)
+			present = ring.New(live)
 			size, first = len(live), live[0].Name
 		}
-		return ring.Server(ring.Choose(chat, 0)).Name
+		return present.Server(present.Choose(chat, 0)).Name
 	}
 }
 
@@ -172,14 +172,14 @@
 }
 
 func fill(size int, bound bool) (skew, asked float64) {
-	ring := agent.NewRing(servers(size))
+	choices := ring.New(servers(size))
 	loads := make([]int, size)
 	total := size * skewMean
 	limit := int(skewMultiple * skewMean)
 	asks := 0
 	for chat := range total {
 		for nth := range skewHops * 8 {
-			at := ring.Choose(chatKey(chat), nth)
+			at := choices.Choose(chatKey(chat), nth)
 			asks++
 			if !bound || loads[at] < max(skewFloor, limit) {
 				loads[at]++
@@ -214,18 +214,18 @@
 	for _, size := range []int{10, 100, 1250, 10_000} {
 		list := servers(size)
 		started := time.Now()
-		ring := agent.NewRing(list)
+		built := ring.New(list)
 		rebuilt := time.Since(started)
-		_, _ = fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.2f\n", size, choiceCost(ring), memoryPerServer(size), float64(rebuilt.Microseconds())/1000)
+		_, _ = fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.2f\n", size, choiceCost(built), memoryPerServer(size), float64(rebuilt.Microseconds())/1000)
 	}
 }
 
-func choiceCost(ring *agent.Ring) float64 {
+func choiceCost(r *ring.Ring) float64 {
 	const rounds = 1_000_000
 	started := time.Now()
 	sum := 0
 	for n := range rounds {
-		sum += ring.Choose(uint64(n)*0x9e3779b97f4a7c15, 0)
+		sum += r.Choose(uint64(n)*0x9e3779b97f4a7c15, 0)
 	}
 	elapsed := time.Since(started)
 	runtime.KeepAlive(sum)
@@ -239,7 +239,7 @@
 	var kept []any
 	for range copies {
 		list := servers(size)
-		kept = append(kept, list, agent.NewRing(list))
+		kept = append(kept, list, ring.New(list))
 	}
 	used := heap() - before
 	runtime.KeepAlive(kept)
--- a/internal/wire/control/keeper.go
+++ b/internal/wire/control/keeper.go
@@ -20,6 +20,8 @@
 	// Generation and Status are set by agents.
 	Generation func() uint64
 	Status     func(now time.Time) (Server, Load)
+	// WantServers reports whether the holder needs the table of servers.
+	WantServers func() bool
 	// Changed is called after every renewal that changed the view.
 	Changed func(v *View)
 }
@@ -102,10 +104,12 @@
 
 func (k *Keeper) request(now time.Time) *RenewRequest {
 	r := &RenewRequest{Holder: k.cfg.Holder, Revision: k.View().Config.Revision()}
-	if k.cfg.Status == nil {
+	if k.cfg.WantServers() {
 		r.WantServers = true
 		r.ServersTerm = k.serversTerm
 		r.ServersSeq = k.serversSeq
+	}
+	if k.cfg.Status == nil {
 		return r
 	}
 	server, load := k.cfg.Status(now)
--- a/internal/wire/exchange/message.go
+++ b/internal/wire/exchange/message.go
@@ -19,6 +19,8 @@
 const (
 	PathOpen   = "/v1/exchange"
 	PathCancel = "/v1/cancel"
+	// PathCache takes the KV cache of the chat that follows.
+	PathCache = "/v1/cache/"
 )
 
 // Timing of an open exchange.
--- a/internal/entry/agent/ring.go
+++ b/internal/wire/ring/ring.go
@@ -1,6 +1,6 @@
-// Package agent speaks to agents from an entry: it chooses the server for a
-// request, opens exchanges and keeps answers whole.
-package agent
+// Package ring maps chats to backend servers in the same way at every process
+// that knows the servers.
+package ring
 
 import (
 	"cmp"
@@ -37,8 +37,8 @@
 	shift uint
 }
 
-// NewRing returns a ring of the servers, which must not change afterwards.
-func NewRing(servers []control.Server) *Ring {
+// New returns a ring of the servers, which must not change afterwards.
+func New(servers []control.Server) *Ring {
 	r := &Ring{servers: servers}
 	if len(servers) == 0 {
 		return r
--- a/scripts/matrix.sh
+++ b/scripts/matrix.sh
@@ -320,6 +320,20 @@
 	joined "load while a server left"
 }
 
+# A data centre is taken out: its chats return warm to the servers they moved to.
+handover() {
+	local n
+	for n in $(seq 1 16); do chat --chat "tour-$n" >/dev/null || fail "chat tour-$n"; done
+	operate zone out $(OPERATORS) canela || fail "zone out"
+	sleep 4
+	local warm=0
+	for n in $(seq 1 16); do
+		if chat --chat "tour-$n" --text "and then?" --expect-warm >/dev/null 2>&1; then warm=$((warm + 1)); fi
+	done
+	echo "$warm of 16 chats returned warm"
+	[ "$warm" = 16 ] || fail "chats turned cold"
+}
+
 # The whole quorum is lost: within the lease term everything is refused as not
 # run; service comes back with the quorum.
 quorum_lost() {
@@ -348,7 +362,7 @@
 	echo "every process lives and serves"
 }
 
-ALL="leader_killed agent_killed agent_frozen leader_frozen operators_race disk_lost disk_lost_wrong_init behind request_crashes sudden_cold cold_surge instance_lost rolling_restart leaving_list quorum_lost garbage"
+ALL="leader_killed agent_killed agent_frozen leader_frozen operators_race disk_lost disk_lost_wrong_init behind request_crashes sudden_cold cold_surge instance_lost rolling_restart leaving_list handover quorum_lost garbage"
 for scenario in ${*:-$ALL}; do
 	echo "== $scenario"
 	ENGINE_FLAGS=
