--- /dev/null
+++ b/internal/control/replica/election.go
@@ -0,0 +1,135 @@
+package replica
+
+import "time"
+
+func (c *Core) resetElection(now time.Time) {
+	spread := time.Duration(c.random.Int64N(int64(ElectionTimeout)))
+	c.electAt = now.Add(ElectionTimeout + spread)
+}
+
+// Tick runs the timers.
+func (c *Core) Tick(now time.Time) {
+	if c.role == leader {
+		c.tickLeader(now)
+		return
+	}
+	if now.Before(c.electAt) || !c.members.IsVoter(c.name) {
+		return
+	}
+	c.campaign(now, preCandidate, false)
+}
+
+func (c *Core) tickLeader(now time.Time) {
+	if c.sinceEpoch(now)-c.quorumAck(now) > 2*ElectionTimeout {
+		c.becomeFollower(now, c.hard.Term, "")
+		return
+	}
+	if !c.members.IsVoter(c.name) && c.membersAt <= c.hard.Commit {
+		c.becomeFollower(now, c.hard.Term, "")
+		return
+	}
+	if now.Before(c.beatAt) {
+		return
+	}
+	c.beatAt = now.Add(HeartbeatInterval)
+	for name := range c.peers {
+		c.peers[name].paused = false
+		c.sendAppend(now, name, true)
+	}
+	c.advanceMembers(now)
+}
+
+func (c *Core) campaign(now time.Time, as role, transfer bool) {
+	c.role = as
+	c.leader = ""
+	c.votes = map[string]bool{c.name: true}
+	c.resetElection(now)
+	term := c.hard.Term + 1
+	kind := MessagePreVote
+	if as == candidate {
+		kind = MessageVote
+		c.hard = HardState{Term: term, Vote: c.name, Commit: c.hard.Commit}
+	}
+	if c.countVotes(now) {
+		return
+	}
+	for _, m := range c.members.List {
+		if m.Voter && m.Name != c.name {
+			c.send(Message{Type: kind, To: m.Name, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: transfer})
+		}
+	}
+}
+
+// countVotes moves on when a quorum has agreed.
+func (c *Core) countVotes(now time.Time) bool {
+	granted := 0
+	for name, yes := range c.votes {
+		if yes && c.members.IsVoter(name) {
+			granted++
+		}
+	}
+	if granted < c.members.Quorum() {
+		return false
+	}
+	if c.role == preCandidate {
+		c.campaign(now, candidate, false)
+	} else {
+		c.becomeLeader(now)
+	}
+	return true
+}
+
+func (c *Core) becomeFollower(now time.Time, term uint64, lead string) {
+	if term > c.hard.Term {
+		c.hard = HardState{Term: term, Commit: c.hard.Commit}
+	}
+	c.role = follower
+	c.leader = lead
+	c.transferTo = ""
+	c.peers = nil
+	c.resetElection(now)
+}
+
+func (c *Core) becomeLeader(now time.Time) {
+	c.role = leader
+	c.leader = c.name
+	c.transferTo = ""
+	c.beatAt = now
+	c.peers = make(map[string]*progress)
+	c.trackPeers()
+	c.noopAt = c.log.last() + 1
+	c.appendOwn(EntryNone, nil)
+	// The election itself is an answer of the quorum, but none that says when
+	// it was sent, so the lease starts with the first heartbeat.
+	for name := range c.peers {
+		c.peers[name].ackedSend = c.sinceEpoch(now) - LeaderLease
+		c.sendAppend(now, name, true)
+	}
+}
+
+// TransferLeadership asks the most advanced voter to campaign at once.
+func (c *Core) TransferLeadership() {
+	if c.role != leader {
+		return
+	}
+	best := ""
+	for name, p := range c.peers {
+		if !c.members.IsVoter(name) {
+			continue
+		}
+		if best == "" || p.match > c.peers[best].match {
+			best = name
+		}
+	}
+	if best == "" {
+		return
+	}
+	c.transferTo = best
+	c.sendTimeoutNow()
+}
+
+func (c *Core) sendTimeoutNow() {
+	if c.peers[c.transferTo].match == c.log.last() {
+		c.send(Message{Type: MessageTimeoutNow, To: c.transferTo, Term: c.hard.Term})
+	}
+}
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -64,11 +64,6 @@
 	err   error
 }
 
-type snapshotResult struct {
-	snapshot Snapshot
-	err      error
-}
-
 type waiter struct {
 	term  uint64
 	reply chan proposalResult
@@ -361,48 +356,6 @@
 	w.reply <- proposalResult{err: bronzerill.Errorf(bronzerill.KindNotLeader, "the lead was lost")}
 }
 
-// startSnapshot encodes and writes a snapshot beside the loop, so that its size
-// doesn't hold up heartbeats.
-func (n *Node) startSnapshot() {
-	applied := n.core.Applied()
-	if n.snapshotting || applied < n.snapshotAt+n.cfg.SnapshotEvery {
-		return
-	}
-	n.snapshotting = true
-	n.snapshotAt = applied
-	n.mu.Lock()
-	term, _ := n.core.log.term(applied)
-	s := Snapshot{Index: applied, Term: term, Members: n.core.MembersAt(applied)}
-	n.mu.Unlock()
-	encode := n.cfg.Machine.Freeze()
-	n.group.Go(func() error {
-		data, err := encode()
-		if err == nil {
-			s.Data = data
-			err = n.cfg.Store.WriteSnapshot(s)
-		}
-		n.snapshots <- snapshotResult{s, err}
-		return nil
-	})
-}
-
-// finishSnapshot cuts the log, unless a received snapshot has overtaken ours.
-func (n *Node) finishSnapshot(r snapshotResult) error {
-	n.snapshotting = false
-	if r.err != nil {
-		return errors.Wrap(r.err, "write snapshot")
-	}
-	if r.snapshot.Index <= n.core.log.base {
-		return nil
-	}
-	if err := n.cfg.Store.UseSnapshot(r.snapshot); err != nil {
-		return err
-	}
-	n.locked(func(time.Time) { n.core.Compact(r.snapshot) })
-	n.cfg.Log.Info("snapshot taken", "index", r.snapshot.Index, "bytes", len(r.snapshot.Data))
-	return nil
-}
-
 func (n *Node) publish() {
 	n.status = Status{
 		Name:     n.name,
--- /dev/null
+++ b/internal/control/replica/ready.go
@@ -0,0 +1,65 @@
+package replica
+
+// Ready returns the work to do. Persisted must follow once it is saved.
+func (c *Core) Ready() Ready {
+	r := Ready{Messages: c.messages, Snapshot: c.install}
+	c.messages = nil
+	c.install = nil
+	// The commit index alone needs no sync: a restart learns it again.
+	voted := c.hard.Term != c.savedTo.Term || c.hard.Vote != c.savedTo.Vote
+	if voted || c.log.unsaved > 0 {
+		hard := c.hard
+		r.Hard = &hard
+		c.savedTo = hard
+	}
+	if c.log.unsaved > 0 {
+		r.Entries = c.log.slice(c.log.unsaved-1, c.log.last(), len(c.log.entries))
+		c.log.unsaved = 0
+	}
+	// Entries are handed out only once saved here, in an earlier Ready.
+	upTo := min(c.hard.Commit, c.saved)
+	if upTo > c.applied {
+		r.Committed = c.log.slice(c.applied, upTo, maxAppendEntries)
+		c.applied += uint64(len(r.Committed))
+	}
+	return r
+}
+
+// Persisted tells the core that the work's state is synced to disk.
+func (c *Core) Persisted(r Ready) {
+	if n := len(r.Entries); n > 0 {
+		last := r.Entries[n-1]
+		if term, ok := c.log.term(last.Index); ok && term == last.Term {
+			c.saved = last.Index
+		}
+	}
+	if r.Snapshot != nil {
+		c.saved = max(c.saved, r.Snapshot.Index)
+	}
+	if c.role == leader {
+		c.advanceCommit()
+	}
+}
+
+// Compact records a snapshot that the driver has saved.
+func (c *Core) Compact(s Snapshot) {
+	c.baseMembers = s.Members
+	c.snapshot = &s
+	c.log.compact(s.Index)
+}
+
+// MembersAt returns the list in force at an applied index.
+func (c *Core) MembersAt(index uint64) Members {
+	members := c.baseMembers
+	for _, e := range c.log.entries {
+		if e.Index > index {
+			break
+		}
+		if e.Type == EntryMembers {
+			if m, err := decodeMembers(e.Data); err == nil {
+				members = m
+			}
+		}
+	}
+	return members
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -50,13 +50,13 @@
 mutant "a ticket's number can be used again" $S/machine.go 's/^\tm\.outcomes\[o\.Number\] = o/\t_ = o/' $S 'TestTicketNumbers|TestRacing'
 mutant "a lease counts from the reply" $W/view.go 's/sentAt\.Add\(LeaseTerm\)/sentAt.Add(2 * LeaseTerm)/' $H TestLeases
 mutant "revisions may fall" ./config.go 's/if d\.To <= c\.revision \{/if d.To == c.revision {/' $H TestLeases
-mutant "in force is said too early" $H/table.go 's/l\.revision < revision \&\& now\.Before\(l\.until\)/false/' $H TestLeases
+mutant "in force is said too early" $H/table.go 's/if l\.revision < revision \&\& now\.Before\(l\.until\)/if l.revision < revision \&\& now.Before(l.until) \&\& false/' $H TestLeases
 mutant "a new leader vouches at once" $H/table.go 's/now\.Sub\(t\.since\) >= settleTime/true/' $H 'TestLeases|TestReportWaits'
 mutant "a silent agent counts" $H/table.go 's/r\.State\.TakesWork\(\) \&\& now\.Before\(r\.until\)/r.State.TakesWork()/' $H TestReportCounts
 mutant "the load bound is loose" $A/admission/gate.go 's/p\.LoadMultiple \* v\.Mean/2 * p.LoadMultiple * v.Mean/' $A/admission 'TestAdmit|TestLoadBound'
 mutant "an old mean counts" $A/admission/gate.go 's/now\.Sub\(v\.MeanAt\) > meanMaxAge/false/' $A/admission TestAdmit
 mutant "a cold server is taken for warm" $A/admission/ramp.go 's/min\(p\.Slots, p\.ColdSlots\+r\.finished\/p\.RampStep\)/p.Slots/' $A/admission 'TestAdmit|TestLoadBound|TestRamp'
-mutant "a zone that is out takes work" $A/admission/gate.go 's/case zone\.Out:/case false:/' $A/admission TestAdmit
+mutant "a zone that is out takes work" $A/admission/gate.go 's/case zone\.Out:/case zone.Out \&\& false:/' $A/admission TestAdmit
 mutant "a lapsed lease admits" $A/admission/gate.go 's/case !v\.HasLease\(now\):/case false:/' $A/admission TestAdmit
 mutant "a draining server takes work" $A/admission/gate.go 's/case g\.draining \|\| v\.Leaving:/case false:/' $A/admission TestAdmit
 mutant "a surge takes everything" $A/admission/gate.go 's/\&\& g\.overShare\(a, limit\)/\&\& false/' $A/admission TestSurge
