--- a/internal/wire/netrpc/netrpc_test.go
+++ b/internal/wire/netrpc/netrpc_test.go
@@ -25,10 +25,10 @@
 	return nil
 }
 
-func startServer(t *testing.T, secret Secret) (addr string, echo *Echo) {
+func startServer(t *testing.T, secret Secret) (addr string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	echo = &Echo{silent: make(chan struct{})}
+	echo := &Echo{silent: make(chan struct{})}
 	server := NewServer(secret, hclog.NewNullLogger())
 	require.NoError(t, server.Register("Echo", echo))
 	ctx, stop := context.WithCancel(context.Background())
@@ -39,7 +39,7 @@
 		stop()
 		_ = group.Wait()
 	})
-	return listener.Addr().String(), echo
+	return listener.Addr().String()
 }
 
 func say(c *Client, word string, patience time.Duration) (string, error) {
@@ -51,7 +51,7 @@
 }
 
 func TestCall(t *testing.T) {
-	addr, _ := startServer(t, Secret("the secret of both"))
+	addr := startServer(t, Secret("the secret of both"))
 	client := NewClient(addr, Secret("the secret of both"))
 	defer client.Close()
 	_, before := Bytes()
@@ -63,7 +63,7 @@
 }
 
 func TestWrongSecretIsRefusedByBothSides(t *testing.T) {
-	addr, _ := startServer(t, Secret("the secret of one"))
+	addr := startServer(t, Secret("the secret of one"))
 	client := NewClient(addr, Secret("another secret"))
 	defer client.Close()
 	_, err := say(client, "hello", time.Second)
@@ -73,7 +73,7 @@
 // TestSilentConnectionIsReplaced calls once more after a call that got no
 // answer.
 func TestSilentConnectionIsReplaced(t *testing.T) {
-	addr, _ := startServer(t, Secret("the secret of both"))
+	addr := startServer(t, Secret("the secret of both"))
 	client := NewClient(addr, Secret("the secret of both"))
 	defer client.Close()
 	_, err := say(client, "silence", 50*time.Millisecond)
@@ -84,7 +84,7 @@
 }
 
 func TestGarbageIsRefused(t *testing.T) {
-	addr, _ := startServer(t, Secret("the secret of both"))
+	addr := startServer(t, Secret("the secret of both"))
 	conn, err := net.Dial("tcp", addr)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
