A request lost with its whole instance is a suspect, and is never sent on

Found by reading: when an agent's instance dies without a word, the entry's connections time out; that was told as truncated, and a truncated chat was sent to a second server by the fleet itself, unsuspected. A request that takes its whole instance down could so cost any number of servers. Test first (it got truncated where it must get agent-gone). Also found by reading, each with a test that failed first: a trial whose grant was lost on the way was refused to its own agent for good; a passed deadline was told as a caller's hang-up.

--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -232,7 +232,13 @@
 func (s *Server) openTrial(o exchange.Open, ask admission.Ask) (*answer, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, min(o.Timeout, control.LeaseTerm))
 	defer cancel()
-	if err := s.cfg.Trials.StartTrial(ctx, o.Print); err != nil {
+	err := s.cfg.Trials.StartTrial(ctx, o.Print)
+	if bronzerill.KindOf(err) == bronzerill.KindNoQuorum {
+		// The trial may have been granted; it won't be run.
+		s.group.Go(func() error { s.endTrial(o.Print, false); return nil })
+		return nil, bronzerill.Errorf(bronzerill.KindSuspect, "control gave no answer about the trial")
+	}
+	if err != nil {
 		return nil, err
 	}
 	ask.Trial = true
--- a/internal/control/holder/rpc.go
+++ b/internal/control/holder/rpc.go
@@ -86,8 +86,19 @@
 	return nil
 }
 
+// Gone notes that an agent was found gone.
+func (r *RPC) Gone(q *control.GoneRequest, reply *control.AckReply) error {
+	now := r.service.cfg.Clock()
+	reply.Failure = r.failure(r.service.Leading(now))
+	r.service.AgentGone(now, q.Pool, q.Agent)
+	return nil
+}
+
 // Crash records what ran when a server crashed.
 func (r *RPC) Crash(q *control.CrashRequest, reply *control.RevisionReply) error {
+	if q.Lost && r.service.IsMassLoss(r.service.cfg.Clock(), q.Crash.Pool) {
+		return nil
+	}
 	result, failure := r.propose(state.Command{Crash: &q.Crash})
 	reply.Failure = failure
 	reply.Revision = result.Revision
--- a/internal/control/holder/service.go
+++ b/internal/control/holder/service.go
@@ -47,8 +47,9 @@
 type Service struct {
 	cfg ServiceConfig
 	mu  sync.Mutex
-	// table is nil unless this replica leads.
-	table *Table
+	// table and losses are nil unless this replica leads.
+	table  *Table
+	losses *losses
 	// reports holds the last reports of this leader, oldest first.
 	reports   []bronzerill.Report
 	reportSeq uint32
@@ -121,6 +122,7 @@
 	if s.table == nil || s.table.Term() != status.Term {
 		s.cfg.Log.Info("leading", "term", status.Term)
 		s.table = NewTable(now, status.Term)
+		s.losses = newLosses()
 		s.reports = nil
 		s.reportSeq = 0
 		s.expireAt = now.Add(expireInterval)
@@ -203,6 +205,22 @@
 	return s.cfg.LeaderAddr(s.cfg.Group.Status(now).Leader)
 }
 
+// AgentGone notes that an entry found an agent gone.
+func (s *Service) AgentGone(now time.Time, pool, agent string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.losses != nil {
+		s.losses.add(now, pool, agent)
+	}
+}
+
+// IsMassLoss reports whether many agents of the pool were lost at once.
+func (s *Service) IsMassLoss(now time.Time, pool string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.losses != nil && s.losses.isMass(now, pool)
+}
+
 // IsInForce reports whether a revision is in force at every holder.
 func (s *Service) IsInForce(now time.Time, revision uint64) bool {
 	s.mu.Lock()
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -129,7 +129,7 @@
 }
 
 func (c *Core) sendTimeoutNow() {
-	if c.peers[c.transferTo].match == c.log.last() {
+	if p := c.peers[c.transferTo]; p != nil && p.match == c.log.last() {
 		c.send(Message{Type: MessageTimeoutNow, To: c.transferTo, Term: c.hard.Term})
 	}
 }
--- a/internal/control/state/suspect.go
+++ b/internal/control/state/suspect.go
@@ -118,6 +118,9 @@
 		return bronzerill.Changes{}, bronzerill.KindAborted
 	case s.State == bronzerill.SuspectQuarantined:
 		return bronzerill.Changes{}, bronzerill.KindQuarantined
+	case s.State == bronzerill.SuspectTrial && s.Agent == t.Agent:
+		// The answer to the first asking was lost.
+		return bronzerill.Changes{}, bronzerill.KindNone
 	case s.State == bronzerill.SuspectTrial:
 		return bronzerill.Changes{}, bronzerill.KindSuspect
 	}
--- a/internal/control/state/suspect_test.go
+++ b/internal/control/state/suspect_test.go
@@ -55,6 +55,16 @@
 	assert.Equal(t, bronzerill.SuspectHeld, h.state("innocent"))
 }
 
+// TestTrialGrantIsRepeated asks again after a lost answer: the same agent has
+// the same right, and no other has.
+func TestTrialGrantIsRepeated(t *testing.T) {
+	h := newHarness(t)
+	h.crash("server-1", "1/a", "guilty")
+	require.Equal(t, bronzerill.KindNone, h.trial("guilty", "server-2"))
+	assert.Equal(t, bronzerill.KindNone, h.trial("guilty", "server-2"))
+	assert.Equal(t, bronzerill.KindSuspect, h.trial("guilty", "server-3"))
+}
+
 func TestTrialOnALostAgentCountsAsCrash(t *testing.T) {
 	h := newHarness(t)
 	h.crash("server-1", "1/a", "guilty")
--- a/internal/entry/agent/client.go
+++ b/internal/entry/agent/client.go
@@ -35,6 +35,12 @@
 // errGone means that no process listens at the agent's address.
 var errGone = errors.New("agent process is gone")
 
+// errUnanswered means that no connection to the agent's address came about.
+var errUnanswered = errors.New("agent's instance doesn't answer")
+
+// isLost reports whether coming back to the exchange may still help.
+func isLost(err error) bool { return errors.Is(err, errLost) || errors.Is(err, errUnanswered) }
+
 // errCaller means that the caller's own connection failed.
 var errCaller = errors.New("caller has gone")
 
@@ -95,7 +101,7 @@
 	if errors.Is(err, errGone) {
 		return bronzerill.Errorf(bronzerill.KindUnreachable, "agent at %s", addr)
 	}
-	for tries := 0; errors.Is(err, errLost) && tries < maxAttaches && ctx.Err() == nil; tries++ {
+	for tries := 0; isLost(err) && tries < maxAttaches && ctx.Err() == nil; tries++ {
 		metrics.Count(metrics.EventResumed)
 		pause(ctx, attachPause)
 		err = c.attach(ctx, addr, o, checker, out)
@@ -103,8 +109,8 @@
 	switch {
 	case errors.Is(err, errCaller) || err != nil && ctx.Err() != nil:
 		c.cancel(addr, o)
-		return bronzerill.Errorf(bronzerill.KindCanceled, "%v", err)
-	case errors.Is(err, errGone):
+		return endError(ctx, err)
+	case errors.Is(err, errGone), errors.Is(err, errUnanswered):
 		return bronzerill.Errorf(bronzerill.KindAgentGone, "agent at %s", addr)
 	case errors.Is(err, errLost):
 		return bronzerill.Errorf(bronzerill.KindTruncated, "agent at %s: %v", addr, err)
@@ -112,6 +118,14 @@
 	return err
 }
 
+// endError tells a deadline that has passed from a caller that has gone.
+func endError(ctx context.Context, err error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "the deadline passed before the end of the answer")
+	}
+	return bronzerill.Errorf(bronzerill.KindCanceled, "%v", err)
+}
+
 // pause waits, or returns early when ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -149,6 +163,9 @@
 	if err != nil && isDial(err) && !o.Attach {
 		return errGone
 	}
+	if err != nil && isDial(err) {
+		return errors.Wrap(errUnanswered, err.Error())
+	}
 	if err != nil {
 		return errors.Wrap(errLost, err.Error())
 	}
--- a/internal/entry/agent/exchange_test.go
+++ b/internal/entry/agent/exchange_test.go
@@ -205,6 +205,39 @@
 	})
 }
 
+// TestSilentHostIsAgentGone loses the agent's whole instance without a word: no
+// later connection gets an answer. The request may have been the cause, so the
+// kind must be the one that makes it a suspect.
+func TestSilentHostIsAgentGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(fault{silentAfter: 900})
+		f := startFleet(n, 1)
+		defer f.close()
+		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
+		defer client.Close()
+		var group errgroup.Group
+		group.Go(func() error { return client.Exchange(t.Context(), agentAddr, testOpen("r1"), &text{}) })
+		time.Sleep(100 * time.Millisecond)
+		n.loseHost(agentAddr)
+		err := group.Wait()
+		assert.Equal(t, bronzerill.KindAgentGone, bronzerill.KindOf(err), "%v", err)
+	})
+}
+
+func TestDeadlineIsNotAHangUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		f := startFleet(n, 1)
+		defer f.close()
+		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		err := client.Exchange(ctx, agentAddr, testOpen("r1"), &text{})
+		assert.Equal(t, bronzerill.KindOutcomeUnknown, bronzerill.KindOf(err), "%v", err)
+	})
+}
+
 func TestNothingListensIsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client := NewClient(ClientConfig{Secret: testSecret, Dialer: newNetwork()})
--- a/internal/entry/agent/forwarder.go
+++ b/internal/entry/agent/forwarder.go
@@ -33,7 +33,9 @@
 
 // CrashReporter tells control what ran on a server that is gone.
 type CrashReporter interface {
-	Crash(ctx context.Context, c state.Crash) error
+	// LostAgent reports a request that ran on an agent that is gone, unless so
+	// many are gone that no request can be the cause.
+	LostAgent(ctx context.Context, c state.Crash) error
 }
 
 // ForwarderConfig configures a Forwarder.
@@ -184,7 +186,7 @@
 	defer cancel()
 	id := strconv.FormatUint(server.Generation, 10) + "/gone"
 	crash := state.Crash{Pool: server.Pool, Agent: server.Name, ID: id, Prints: []string{print}}
-	if err := s.cfg.Crashes.Crash(ctx, crash); err != nil {
+	if err := s.cfg.Crashes.LostAgent(ctx, crash); err != nil {
 		s.cfg.Log.Warn("lost agent not reported", "server", server.Name, "error", err.Error())
 	}
 }
@@ -208,7 +210,9 @@
 		return true
 	case kind.Answer().Run == bronzerill.RunNot && kind.Answer().Retry == bronzerill.RetryElsewhere:
 		s.backoffs.Failed(now, server.Name)
-	case s.q.Repeatable && s.ranError == nil && (kind == bronzerill.KindCrossed || kind == bronzerill.KindTruncated):
+	case s.q.Repeatable && s.ranError == nil && kind == bronzerill.KindCrossed:
+		// A lost answer is never sent for again: the request may have been the
+		// cause of the loss.
 		s.ranError = err
 	default:
 		return false
--- a/internal/entry/agent/network_test.go
+++ b/internal/entry/agent/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -24,10 +25,19 @@
 	listeners map[string]*listener
 	faults    []fault
 	dials     int
+	// lost holds the addresses where nobody answers any more.
+	lost map[string]bool
+}
+
+// loseHost makes every later connection to an address run into a timeout.
+func (n *network) loseHost(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost[addr] = true
 }
 
 func newNetwork(faults ...fault) *network {
-	return &network{listeners: make(map[string]*listener), faults: faults}
+	return &network{listeners: make(map[string]*listener), faults: faults, lost: make(map[string]bool)}
 }
 
 type listener struct {
@@ -73,7 +83,12 @@
 		f = n.faults[n.dials]
 	}
 	n.dials++
+	lost := n.lost[addr]
 	n.mu.Unlock()
+	if lost {
+		time.Sleep(dialTimeout)
+		return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	}
 	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	if l == nil {
 		return nil, refused
--- a/internal/wire/control/ledger.go
+++ b/internal/wire/control/ledger.go
@@ -7,6 +7,9 @@
 	"bronzerill/internal/control/state"
 )
 
+// lossPause is how long other losses may come in before one is judged.
+const lossPause = time.Second
+
 // inForcePause is the pause between questions whether a revision is in force.
 const inForcePause = 100 * time.Millisecond
 
@@ -45,7 +48,26 @@
 // Crash reports what ran when a server crashed, and returns once every holder
 // knows it.
 func (c *Client) Crash(ctx context.Context, crash state.Crash) error {
-	r, err := Call(ctx, c, "Crash", &CrashRequest{crash}, func() *RevisionReply { return &RevisionReply{} })
+	return c.reportCrash(ctx, &CrashRequest{Crash: crash})
+}
+
+// LostAgent reports what ran on an agent that is gone. Control first hears of
+// the loss alone, and after a pause decides whether it is one of many.
+func (c *Client) LostAgent(ctx context.Context, crash state.Crash) error {
+	gone := &GoneRequest{Pool: crash.Pool, Agent: crash.Agent}
+	if _, err := Call(ctx, c, "Gone", gone, newAck); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(lossPause):
+	}
+	return c.reportCrash(ctx, &CrashRequest{Crash: crash, Lost: true})
+}
+
+func (c *Client) reportCrash(ctx context.Context, q *CrashRequest) error {
+	r, err := Call(ctx, c, "Crash", q, func() *RevisionReply { return &RevisionReply{} })
 	if err != nil {
 		return err
 	}
--- a/internal/wire/control/message.go
+++ b/internal/wire/control/message.go
@@ -151,7 +151,14 @@
 type DoubtRequest struct{ Doubt state.Doubt }
 
 // CrashRequest reports what ran when a server crashed.
-type CrashRequest struct{ Crash state.Crash }
+type CrashRequest struct {
+	Crash state.Crash
+	// Lost means that an entry reports for an agent that is gone.
+	Lost bool
+}
+
+// GoneRequest tells that an agent was found gone.
+type GoneRequest struct{ Pool, Agent string }
 
 // RevisionReply carries the revision that holds the change.
 type RevisionReply struct {
