--- a/internal/control/replica/peer.go
+++ b/internal/control/replica/peer.go
@@ -24,6 +24,15 @@
 // Batch carries messages to one replica, in order.
 type Batch struct{ Messages []Message }
 
+// timeout bounds the delivery; a snapshot adds to it by its size.
+func (b *Batch) timeout() time.Duration {
+	timeout := deliverTimeout
+	for _, m := range b.Messages {
+		timeout += m.Snapshot.transferTime()
+	}
+	return timeout
+}
+
 // Ack answers a Batch.
 type Ack struct{}
 
@@ -102,7 +111,7 @@
 }
 
 func (p *Peers) deliver(client *netrpc.Client, b *Batch) {
-	ctx, cancel := context.WithTimeout(p.ctx, deliverTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, b.timeout())
 	defer cancel()
 	if err := client.Call(ctx, Service+".Deliver", b, &Ack{}); err != nil {
 		p.log.Debug("messages lost", "count", len(b.Messages), "error", err.Error())
--- /dev/null
+++ b/internal/control/replica/peer_test.go
@@ -0,0 +1,41 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestLargeSnapshotHasTimeToArrive gives a snapshot at the ledger's bound more
+// time than a heartbeat, and doesn't send it again meanwhile.
+func TestLargeSnapshotHasTimeToArrive(t *testing.T) {
+	large := &Snapshot{Index: 10, Term: 1, Data: make([]byte, 84<<20)}
+	small := &Batch{Messages: []Message{{Type: MessageAppend}}}
+	assert.Equal(t, deliverTimeout, small.timeout())
+	assert.Equal(t, deliverTimeout+21*time.Second, (&Batch{Messages: []Message{{Snapshot: large}}}).timeout())
+
+	c := newCluster(t, 11, "a", "b", "c")
+	c.mustCommit(1)
+	lead := c.awaitLeader()
+	behind, _ := others(lead)
+	core := c.nodes[lead].core
+	c.isolate(behind)
+	c.mustCommit(2)
+	at := core.Applied()
+	term, _ := core.log.term(at)
+	core.Compact(Snapshot{Index: at, Term: term, Members: core.MembersAt(at), Data: large.Data})
+	core.peers[behind].next = 1
+	sent := 0
+	for range 10 {
+		c.now = c.now.Add(ElectionTimeout)
+		core.sendAppend(c.now, behind, true)
+	}
+	for _, m := range core.Ready().Messages {
+		if m.Type == MessageSnapshot {
+			sent++
+		}
+	}
+	require.Equal(t, 1, sent)
+}
--- a/internal/control/replica/step.go
+++ b/internal/control/replica/step.go
@@ -233,7 +233,7 @@
 }
 
 func (c *Core) sendSnapshot(now time.Time, to string, p *progress) {
-	if c.snapshot == nil || now.Sub(p.snapshotSent) < ElectionTimeout {
+	if c.snapshot == nil || now.Sub(p.snapshotSent) < ElectionTimeout+c.snapshot.transferTime() {
 		return
 	}
 	p.snapshotSent = now
