--- a/entity.go
+++ b/entity.go
@@ -80,13 +80,13 @@
 	Pool      string `json:"pool" toml:"pool" msgpack:"p"`
 	// SpillHops is the most servers asked in one round; at least 1.
 	SpillHops int `json:"spill-hops" toml:"spill-hops" msgpack:"s"`
-	// PatienceMillis is how long an entry looks for a free slot.
-	PatienceMillis int `json:"patience-ms" toml:"patience-ms" msgpack:"t"`
+	// QueueTimeoutMillis is how long an entry looks for a free slot.
+	QueueTimeoutMillis int `json:"queue-timeout-ms" toml:"queue-timeout-ms" msgpack:"t"`
 }
 
-// Patience returns how long an entry looks for a free slot.
-func (p Policy) Patience() time.Duration {
-	return time.Duration(p.PatienceMillis) * time.Millisecond
+// QueueTimeout returns how long an entry looks for a free slot.
+func (p Policy) QueueTimeout() time.Duration {
+	return time.Duration(p.QueueTimeoutMillis) * time.Millisecond
 }
 
 // Order is an instruction to one model engine. Its fencing number is the
--- a/internal/agent/admission/gate.go
+++ b/internal/agent/admission/gate.go
@@ -23,9 +23,9 @@
 type Ask struct {
 	Customer string
 	// Weight is the customer's; at least 1.
-	Weight   int
-	Priority exchange.Priority
-	Print    string
+	Weight      int
+	Priority    exchange.Priority
+	Fingerprint string
 	// Trial means that control has granted a trial of the fingerprint.
 	Trial bool
 }
@@ -48,10 +48,10 @@
 	pool string
 	zone string
 	ramp Ramp
-	// running equals the sum over customers, and the sum over prints.
-	running   int
-	customers map[string]customerUse
-	prints    map[string]int
+	// running equals the sum over customers, and the sum over fingerprints.
+	running      int
+	customers    map[string]customerUse
+	fingerprints map[string]int
 	// trial is the fingerprint that runs alone, or empty.
 	trial    string
 	draining bool
@@ -63,7 +63,7 @@
 
 // NewGate returns the gate of a server that is cold.
 func NewGate(pool, zone string) *Gate {
-	return &Gate{pool: pool, zone: zone, customers: make(map[string]customerUse), prints: make(map[string]int)}
+	return &Gate{pool: pool, zone: zone, customers: make(map[string]customerUse), fingerprints: make(map[string]int)}
 }
 
 // Admit decides about a request. KindNone admits it, and the pass must be given
@@ -81,9 +81,9 @@
 	g.running++
 	use := g.customers[a.Customer]
 	g.customers[a.Customer] = customerUse{use.running + 1, a.Weight}
-	g.prints[a.Print]++
+	g.fingerprints[a.Fingerprint]++
 	if a.Trial {
-		g.trial = a.Print
+		g.trial = a.Fingerprint
 	}
 	return Pass{ask: a, epoch: g.ramp.Epoch()}, bronzerill.KindNone
 }
@@ -105,7 +105,7 @@
 }
 
 func (g *Gate) suspicion(v *control.View, a Ask) bronzerill.Kind {
-	s, suspected := v.Config.Suspect(a.Print)
+	s, suspected := v.Config.Suspect(a.Fingerprint)
 	switch {
 	case suspected && s.State == bronzerill.SuspectQuarantined:
 		return bronzerill.KindQuarantined
@@ -179,9 +179,9 @@
 	if use.running == 0 {
 		delete(g.customers, p.ask.Customer)
 	}
-	g.prints[p.ask.Print]--
-	if g.prints[p.ask.Print] == 0 {
-		delete(g.prints, p.ask.Print)
+	g.fingerprints[p.ask.Fingerprint]--
+	if g.fingerprints[p.ask.Fingerprint] == 0 {
+		delete(g.fingerprints, p.ask.Fingerprint)
 	}
 	if p.ask.Trial {
 		g.trial = ""
@@ -206,15 +206,15 @@
 // Running returns the number of requests that run on the server.
 func (g *Gate) Running() int { return g.running }
 
-// Prints returns the fingerprints that run on the server.
-func (g *Gate) Prints() []string {
-	prints := make([]string, 0, len(g.prints))
-	for print := range g.prints {
-		if print != "" {
-			prints = append(prints, print)
+// Fingerprints returns the fingerprints that run on the server.
+func (g *Gate) Fingerprints() []string {
+	fingerprints := make([]string, 0, len(g.fingerprints))
+	for fingerprint := range g.fingerprints {
+		if fingerprint != "" {
+			fingerprints = append(fingerprints, fingerprint)
 		}
 	}
-	return prints
+	return fingerprints
 }
 
 // State returns the server's state for the table of servers.
--- a/internal/agent/admission/gate_test.go
+++ b/internal/agent/admission/gate_test.go
@@ -46,13 +46,13 @@
 	return g
 }
 
-func ask(customer string) Ask { return Ask{Customer: customer, Weight: 1, Print: "p"} }
+func ask(customer string) Ask { return Ask{Customer: customer, Weight: 1, Fingerprint: "p"} }
 
 // fill admits n requests of different customers.
 func fill(t *testing.T, g *Gate, v *control.View, n int) []Pass {
 	var passes []Pass
 	for i := range n {
-		pass, kind := g.Admit(now, v, Ask{Customer: fmt.Sprint("customer-", i), Weight: 1, Print: fmt.Sprint(i)})
+		pass, kind := g.Admit(now, v, Ask{Customer: fmt.Sprint("customer-", i), Weight: 1, Fingerprint: fmt.Sprint(i)})
 		require.Equal(t, bronzerill.KindNone, kind, "request %d", i)
 		passes = append(passes, pass)
 	}
@@ -83,8 +83,8 @@
 		{"on the leaving list", now, leaving, 0, nil, ask("a"), bronzerill.KindLeaving},
 		{"server down", now, view(10), 0, func(g *Gate) { g.SetDown(true) }, ask("a"), bronzerill.KindUnreachable},
 		{"held suspect", now, with(view(10), suspect(bronzerill.SuspectHeld)), 0, nil, ask("a"), bronzerill.KindSuspect},
-		{"granted trial", now, with(view(10), suspect(bronzerill.SuspectHeld)), 0, nil, Ask{Customer: "a", Weight: 1, Print: "p", Trial: true}, bronzerill.KindNone},
-		{"quarantined", now, with(view(10), suspect(bronzerill.SuspectQuarantined)), 0, nil, Ask{Customer: "a", Weight: 1, Print: "p", Trial: true}, bronzerill.KindQuarantined},
+		{"granted trial", now, with(view(10), suspect(bronzerill.SuspectHeld)), 0, nil, Ask{Customer: "a", Weight: 1, Fingerprint: "p", Trial: true}, bronzerill.KindNone},
+		{"quarantined", now, with(view(10), suspect(bronzerill.SuspectQuarantined)), 0, nil, Ask{Customer: "a", Weight: 1, Fingerprint: "p", Trial: true}, bronzerill.KindQuarantined},
 		{"company for a trial", now, view(10), 0, func(g *Gate) { g.trial = "other" }, ask("a"), bronzerill.KindOverloaded},
 		{"floor at no load", now, view(0), 3, nil, ask("a"), bronzerill.KindNone},
 		{"over the floor at no load", now, view(0), 4, nil, ask("a"), bronzerill.KindOverloaded},
@@ -202,11 +202,11 @@
 	g := warmGate()
 	v := view(10)
 	passes := fill(t, g, v, 10)
-	assert.Len(t, g.Prints(), 10)
+	assert.Len(t, g.Fingerprints(), 10)
 	for _, pass := range passes {
 		g.Done(pass, true)
 	}
 	assert.Zero(t, g.Running())
-	assert.Empty(t, g.Prints())
+	assert.Empty(t, g.Fingerprints())
 	assert.Empty(t, g.customers)
 }
--- a/internal/agent/engine/runner.go
+++ b/internal/agent/engine/runner.go
@@ -24,12 +24,12 @@
 	maxResumes     = 3
 	maxAnswerBytes = 64 << 20
 	copyBytes      = 16 << 10
-	// crashPatience is how long a failed request waits to learn whether its
+	// crashNoticeTimeout is how long a failed request waits to learn whether its
 	// engine has crashed.
-	crashPatience = 1500 * time.Millisecond
-	crashPause    = 50 * time.Millisecond
-	// slotPatience bounds the wait for the end of an answer that is whole.
-	slotPatience = 100 * time.Millisecond
+	crashNoticeTimeout = 1500 * time.Millisecond
+	crashPause         = 50 * time.Millisecond
+	// slotTimeout bounds the wait for the end of an answer that is whole.
+	slotTimeout = 100 * time.Millisecond
 )
 
 // RunnerConfig configures a Runner.
@@ -148,7 +148,7 @@
 	}
 	sink.Head(response.StatusCode, response.Header.Get("Content-Type"), response.Header.Get("X-Cache") == "hit", false)
 	err := e.copy(response.Body)
-	defer awaitSlot(response.Body)
+	defer awaitEnd(response.Body)
 	for tries := 0; !e.done && tries < maxResumes && isCut(err) && ctx.Err() == nil; tries++ {
 		err = r.resume(ctx, id, e, err)
 	}
@@ -162,10 +162,10 @@
 	return err
 }
 
-// awaitSlot reads to the end of an answer after its closing mark: only then has
+// awaitEnd reads to the end of an answer after its closing mark: only then has
 // the engine given the slot free.
-func awaitSlot(body io.ReadCloser) {
-	timer := time.AfterFunc(slotPatience, func() { _ = body.Close() })
+func awaitEnd(body io.ReadCloser) {
+	timer := time.AfterFunc(slotTimeout, func() { _ = body.Close() })
 	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, body, maxLoadBytes)
 }
@@ -240,7 +240,7 @@
 // engine alive or made its crash known everywhere. So a caller that sends the
 // request again meets the suspicion at every agent.
 func (r *Runner) awaitCrash(ctx context.Context, generation string) {
-	deadline := time.NewTimer(crashPatience)
+	deadline := time.NewTimer(crashNoticeTimeout)
 	defer deadline.Stop()
 	for {
 		if r.watch.Lost(generation) {
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -50,10 +50,10 @@
 // Trials asks control for the right to run a suspect alone, and reports what
 // came of it.
 type Trials interface {
-	StartTrial(ctx context.Context, print string) error
+	StartTrial(ctx context.Context, fingerprint string) error
 	// EndTrial clears the suspect, or holds it again when the trial showed
 	// nothing. It returns once control knows.
-	EndTrial(ctx context.Context, print string, cleared bool) error
+	EndTrial(ctx context.Context, fingerprint string, cleared bool) error
 }
 
 // ServerConfig configures a Server.
@@ -217,7 +217,7 @@
 	if o.Timeout <= 0 {
 		return nil, bronzerill.Errorf(bronzerill.KindDeadline, "before the server was asked")
 	}
-	ask := admission.Ask{Customer: o.Customer, Weight: max(1, o.Weight), Priority: o.Priority, Print: o.Print}
+	ask := admission.Ask{Customer: o.Customer, Weight: max(1, o.Weight), Priority: o.Priority, Fingerprint: o.Fingerprint}
 	pass, kind := s.admit(now, ask)
 	if kind == bronzerill.KindSuspect && s.cfg.Trials != nil {
 		return s.openTrial(o, ask)
@@ -232,10 +232,10 @@
 func (s *Server) openTrial(o exchange.Open, ask admission.Ask) (*answer, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, min(o.Timeout, control.LeaseTerm))
 	defer cancel()
-	err := s.cfg.Trials.StartTrial(ctx, o.Print)
+	err := s.cfg.Trials.StartTrial(ctx, o.Fingerprint)
 	if bronzerill.KindOf(err) == bronzerill.KindNoQuorum {
 		// The trial may have been granted; it won't be run.
-		s.group.Go(func() error { s.endTrial(o.Print, false); return nil })
+		s.group.Go(func() error { s.endTrial(o.Fingerprint, false); return nil })
 		return nil, bronzerill.Errorf(bronzerill.KindSuspect, "control gave no answer about the trial")
 	}
 	if err != nil {
@@ -244,7 +244,7 @@
 	ask.Trial = true
 	pass, kind := s.admit(s.cfg.Clock(), ask)
 	if kind != bronzerill.KindNone {
-		s.group.Go(func() error { s.endTrial(o.Print, false); return nil })
+		s.group.Go(func() error { s.endTrial(o.Fingerprint, false); return nil })
 		return nil, bronzerill.Errorf(kind, "%s", s.cfg.Name)
 	}
 	return s.start(o, pass, true)
@@ -274,7 +274,7 @@
 		err := s.cfg.Runner.Run(ctx, o, a)
 		s.WithGate(func(g *admission.Gate) { g.Done(pass, err == nil) })
 		if trial {
-			s.endTrial(o.Print, err == nil)
+			s.endTrial(o.Fingerprint, err == nil)
 		}
 		if err != nil {
 			metrics.Failed(bronzerill.KindOf(err))
@@ -288,8 +288,8 @@
 	return a, nil
 }
 
-func (s *Server) endTrial(print string, cleared bool) {
-	if err := s.cfg.Trials.EndTrial(s.ctx, print, cleared); err != nil {
+func (s *Server) endTrial(fingerprint string, cleared bool) {
+	if err := s.cfg.Trials.EndTrial(s.ctx, fingerprint, cleared); err != nil {
 		s.cfg.Log.Warn("trial not closed", "error", err.Error())
 	}
 }
--- a/internal/agent/service/runner.go
+++ b/internal/agent/service/runner.go
@@ -21,13 +21,13 @@
 	// waitPause is the pause between looks at a claim that another attempt
 	// holds.
 	waitPause = 100 * time.Millisecond
-	// settlePatience is how long a caller waits for the ledger to take note.
-	settlePatience = time.Second
+	// settleTimeout is how long a caller waits for the ledger to take note.
+	settleTimeout = time.Second
 	// claimTimeout bounds the wait for the ledger before a call.
 	claimTimeout = 3 * time.Second
-	// commitPatience is how long the caller waits for its outcome to be
+	// commitTimeout is how long the caller waits for its outcome to be
 	// committed.
-	commitPatience = 3 * time.Second
+	commitTimeout = 3 * time.Second
 )
 
 // Ledger is the agreed record of calls that run at most once.
@@ -35,7 +35,7 @@
 	Claim(ctx context.Context, c state.Claim) (state.Decision, state.Reply, error)
 	Finish(ctx context.Context, f state.Finish) error
 	Release(ctx context.Context, r state.Release) error
-	Doubt(ctx context.Context, d state.Doubt) error
+	MarkUnknown(ctx context.Context, d state.MarkUnknown) error
 }
 
 // Caller sends one call to the service.
@@ -143,16 +143,16 @@
 	})
 }
 
-func (r *Runner) doubt(key state.Key, attempt state.Attempt) {
-	r.settle("doubt", attempt, func(ctx context.Context) error {
-		return r.cfg.Ledger.Doubt(ctx, state.Doubt{Key: key, Attempt: attempt})
+func (r *Runner) markUnknown(key state.Key, attempt state.Attempt) {
+	r.settle("mark-unknown", attempt, func(ctx context.Context) error {
+		return r.cfg.Ledger.MarkUnknown(ctx, state.MarkUnknown{Key: key, Attempt: attempt})
 	})
 }
 
 // settle tells the ledger what became of a claim, now or in the background. If
 // the agent stops first, its next process makes the claim unknown.
 func (r *Runner) settle(what string, attempt state.Attempt, tell func(ctx context.Context) error) {
-	ctx, cancel := context.WithTimeout(context.Background(), settlePatience)
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if err := tell(ctx); bronzerill.KindOf(err) != bronzerill.KindNoQuorum {
 		return
@@ -179,13 +179,13 @@
 		r.release(key, attempt)
 		return err
 	}
-	r.doubt(key, attempt)
+	r.markUnknown(key, attempt)
 	return bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "%v", err)
 }
 
 // finish commits the outcome before the caller sees it.
 func (r *Runner) finish(key state.Key, attempt state.Attempt, reply state.Reply, sink entry.Sink) error {
-	ctx, cancel := context.WithTimeout(context.Background(), commitPatience)
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
 	kept := reply
 	if len(kept.Body) > state.MaxAnswerBytes {
--- a/internal/agent/service/world_test.go
+++ b/internal/agent/service/world_test.go
@@ -178,9 +178,9 @@
 	return err
 }
 
-// Doubt tells the ledger.
-func (p *process) Doubt(_ context.Context, d state.Doubt) error {
-	_, err := p.command(state.Command{Doubt: &d})
+// MarkUnknown tells the ledger.
+func (p *process) MarkUnknown(_ context.Context, d state.MarkUnknown) error {
+	_, err := p.command(state.Command{MarkUnknown: &d})
 	return err
 }
 
--- a/internal/control/holder/rpc.go
+++ b/internal/control/holder/rpc.go
@@ -80,9 +80,9 @@
 	return nil
 }
 
-// Doubt records that a call's answer was lost.
-func (r *RPC) Doubt(q *control.DoubtRequest, reply *control.AckReply) error {
-	_, reply.Failure = r.propose(state.Command{Doubt: &q.Doubt})
+// MarkUnknown records that a call's answer was lost.
+func (r *RPC) MarkUnknown(q *control.MarkUnknownRequest, reply *control.AckReply) error {
+	_, reply.Failure = r.propose(state.Command{MarkUnknown: &q.MarkUnknown})
 	return nil
 }
 
--- a/internal/control/operator/api.go
+++ b/internal/control/operator/api.go
@@ -58,7 +58,7 @@
 	mux.HandleFunc("GET /v1/report", a.leading(a.getReport))
 	mux.HandleFunc("POST /v1/promises", a.leading(a.postPromise))
 	mux.HandleFunc("GET /v1/quarantine", a.leading(a.listSuspects))
-	mux.HandleFunc("DELETE /v1/quarantine/{print}", a.leading(a.releaseSuspect))
+	mux.HandleFunc("DELETE /v1/quarantine/{fingerprint}", a.leading(a.releaseSuspect))
 	mux.HandleFunc("POST /v1/repair", a.leading(a.repair))
 	mux.HandleFunc("GET /v1/status", a.getStatus)
 	return mux
@@ -219,7 +219,7 @@
 }
 
 func (a *API) releaseSuspect(w http.ResponseWriter, r *http.Request) {
-	a.propose(w, r, state.Command{Pardon: &state.Pardon{Print: r.PathValue("print")}})
+	a.propose(w, r, state.Command{ClearSuspect: &state.ClearSuspect{Fingerprint: r.PathValue("fingerprint")}})
 }
 
 func (a *API) repair(w http.ResponseWriter, r *http.Request) {
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -13,20 +13,20 @@
 // Command is one entry of the log; exactly one of its pointers is set.
 type Command struct {
 	// At is the leader's clock when it proposed the command.
-	At       time.Time      `msgpack:"at"`
-	Ticket   *TicketCommand `msgpack:"tk,omitempty"`
-	Register *Register      `msgpack:"rg,omitempty"`
-	Claim    *Claim         `msgpack:"cl,omitempty"`
-	Finish   *Finish        `msgpack:"fi,omitempty"`
-	Release  *Release       `msgpack:"re,omitempty"`
-	Doubt    *Doubt         `msgpack:"do,omitempty"`
-	Abandon  *Abandon       `msgpack:"ab,omitempty"`
-	Crash    *Crash         `msgpack:"cr,omitempty"`
-	Trial    *Trial         `msgpack:"tr,omitempty"`
-	Verdict  *Verdict       `msgpack:"ve,omitempty"`
-	Pardon   *Pardon        `msgpack:"pa,omitempty"`
-	Promise  *Promise       `msgpack:"pr,omitempty"`
-	Expire   *Expire        `msgpack:"ex,omitempty"`
+	At           time.Time      `msgpack:"at"`
+	Ticket       *TicketCommand `msgpack:"tk,omitempty"`
+	Register     *Register      `msgpack:"rg,omitempty"`
+	Claim        *Claim         `msgpack:"cl,omitempty"`
+	Finish       *Finish        `msgpack:"fi,omitempty"`
+	Release      *Release       `msgpack:"re,omitempty"`
+	MarkUnknown  *MarkUnknown   `msgpack:"do,omitempty"`
+	Abandon      *Abandon       `msgpack:"ab,omitempty"`
+	Crash        *Crash         `msgpack:"cr,omitempty"`
+	Trial        *Trial         `msgpack:"tr,omitempty"`
+	Verdict      *Verdict       `msgpack:"ve,omitempty"`
+	ClearSuspect *ClearSuspect  `msgpack:"pa,omitempty"`
+	Promise      *Promise       `msgpack:"pr,omitempty"`
+	Expire       *Expire        `msgpack:"ex,omitempty"`
 }
 
 // Encode returns the log form of the command.
--- a/internal/control/state/ledger.go
+++ b/internal/control/state/ledger.go
@@ -94,8 +94,8 @@
 	Attempt `msgpack:",inline"`
 }
 
-// Doubt records that a call was sent and its answer was lost.
-type Doubt struct {
+// MarkUnknown records that a call was sent and its answer was lost.
+type MarkUnknown struct {
 	Key     Key `msgpack:"k"`
 	Attempt `msgpack:",inline"`
 }
@@ -258,8 +258,8 @@
 	return bronzerill.KindNone
 }
 
-// Doubt marks a running claim as unknown.
-func (l *Ledger) Doubt(now time.Time, d Doubt) {
+// MarkUnknown marks a running claim whose answer was lost as unknown.
+func (l *Ledger) MarkUnknown(now time.Time, d MarkUnknown) {
 	known, ok := l.records[d.Key]
 	if !ok || known.Attempt != d.Attempt || known.State != ClaimRunning {
 		return
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -150,8 +150,8 @@
 		return Result{Kind: m.ledger.Finish(c.At, *c.Finish)}
 	case c.Release != nil:
 		return Result{Kind: m.ledger.Release(c.At, *c.Release)}
-	case c.Doubt != nil:
-		m.ledger.Doubt(c.At, *c.Doubt)
+	case c.MarkUnknown != nil:
+		m.ledger.MarkUnknown(c.At, *c.MarkUnknown)
 		return Result{}
 	case c.Abandon != nil:
 		m.abandon(c.At, *c.Abandon)
@@ -162,11 +162,11 @@
 	case c.Trial != nil:
 		changes, kind := trialChanges(m.config, *c.Trial)
 		m.change(changes)
-		return Result{Kind: kind, Detail: c.Trial.Print}
+		return Result{Kind: kind, Detail: c.Trial.Fingerprint}
 	case c.Verdict != nil:
 		return m.runVerdict(*c.Verdict)
-	case c.Pardon != nil:
-		return m.runPardon(*c.Pardon)
+	case c.ClearSuspect != nil:
+		return m.runClearSuspect(*c.ClearSuspect)
 	case c.Promise != nil:
 		return m.runPromise(c.At, *c.Promise)
 	case c.Expire != nil:
@@ -236,12 +236,12 @@
 }
 
 func (m *Machine) runVerdict(v Verdict) Result {
-	s, ok := m.config.Suspect(v.Print)
+	s, ok := m.config.Suspect(v.Fingerprint)
 	if !ok || s.State != bronzerill.SuspectTrial || s.Agent != v.Agent {
 		return Result{}
 	}
 	if v.Cleared {
-		m.change(bronzerill.Changes{Removals: []bronzerill.Removal{suspectRemoval(v.Print)}})
+		m.change(bronzerill.Changes{Removals: []bronzerill.Removal{suspectRemoval(v.Fingerprint)}})
 		return Result{}
 	}
 	s.State = bronzerill.SuspectHeld
@@ -250,11 +250,11 @@
 	return Result{}
 }
 
-func (m *Machine) runPardon(p Pardon) Result {
-	if _, ok := m.config.Suspect(p.Print); !ok {
+func (m *Machine) runClearSuspect(p ClearSuspect) Result {
+	if _, ok := m.config.Suspect(p.Fingerprint); !ok {
 		return Result{Kind: bronzerill.KindBadRequest, Detail: "fingerprint not found"}
 	}
-	m.change(bronzerill.Changes{Removals: []bronzerill.Removal{suspectRemoval(p.Print)}})
+	m.change(bronzerill.Changes{Removals: []bronzerill.Removal{suspectRemoval(p.Fingerprint)}})
 	return Result{}
 }
 
--- a/internal/control/state/suspect.go
+++ b/internal/control/state/suspect.go
@@ -13,9 +13,9 @@
 	// QuarantineTime is how long a quarantined request stays refused.
 	QuarantineTime = 24 * time.Hour
 	// crashesToQuarantine is the number of servers that one request may cost.
-	crashesToQuarantine = 2
-	maxSuspects         = 4096
-	maxCrashPrints      = 256
+	crashesToQuarantine  = 2
+	maxSuspects          = 4096
+	maxCrashFingerprints = 256
 )
 
 // Crash reports the requests that ran on a backend server when it crashed.
@@ -24,35 +24,35 @@
 	Agent string `msgpack:"a"`
 	// ID differs for every crash, so that a doubled report counts once for each
 	// fingerprint.
-	ID     string   `msgpack:"i"`
-	Prints []string `msgpack:"f"`
+	ID           string   `msgpack:"i"`
+	Fingerprints []string `msgpack:"f"`
 }
 
 // Trial asks to run a suspect alone on one server.
 type Trial struct {
-	Print string `msgpack:"f"`
-	Agent string `msgpack:"a"`
+	Fingerprint string `msgpack:"f"`
+	Agent       string `msgpack:"a"`
 }
 
 // Verdict ends a trial that did not crash its server.
 type Verdict struct {
-	Print string `msgpack:"f"`
-	Agent string `msgpack:"a"`
+	Fingerprint string `msgpack:"f"`
+	Agent       string `msgpack:"a"`
 	// Cleared is false when the trial showed nothing.
 	Cleared bool `msgpack:"c"`
 }
 
-// Pardon releases a fingerprint by an operator's hand.
-type Pardon struct {
-	Print string `msgpack:"f"`
+// ClearSuspect releases a fingerprint by an operator's hand.
+type ClearSuspect struct {
+	Fingerprint string `msgpack:"f"`
 }
 
 // crashChanges returns the suspects that a crash makes or worsens. While a
 // trial ran on the server, its request alone is blamed.
 func crashChanges(c *bronzerill.Config, now time.Time, crash Crash) bronzerill.Changes {
-	prints := crash.Prints
-	if len(prints) > maxCrashPrints {
-		prints = prints[:maxCrashPrints]
+	fingerprints := crash.Fingerprints
+	if len(fingerprints) > maxCrashFingerprints {
+		fingerprints = fingerprints[:maxCrashFingerprints]
 	}
 	for _, s := range c.Suspects() {
 		if s.State == bronzerill.SuspectTrial && s.Agent == crash.Agent {
@@ -60,10 +60,10 @@
 		}
 	}
 	var changes bronzerill.Changes
-	for _, print := range prints {
-		s, known := c.Suspect(print)
+	for _, fingerprint := range fingerprints {
+		s, known := c.Suspect(fingerprint)
 		if !known {
-			s = bronzerill.Suspect{Name: print, Pool: crash.Pool, State: bronzerill.SuspectHeld, Expiry: now.Add(HoldTime)}
+			s = bronzerill.Suspect{Name: fingerprint, Pool: crash.Pool, State: bronzerill.SuspectHeld, Expiry: now.Add(HoldTime)}
 		}
 		if s.LastCrash == crash.ID || s.State == bronzerill.SuspectQuarantined {
 			continue
@@ -105,14 +105,14 @@
 	return removals
 }
 
-func suspectRemoval(print string) bronzerill.Removal {
-	return bronzerill.Removal{Kind: bronzerill.EntitySuspect, Name: print}
+func suspectRemoval(fingerprint string) bronzerill.Removal {
+	return bronzerill.Removal{Kind: bronzerill.EntitySuspect, Name: fingerprint}
 }
 
 // trialChanges grants a trial when the suspect is held and no other trial runs
 // in its pool.
 func trialChanges(c *bronzerill.Config, t Trial) (bronzerill.Changes, bronzerill.Kind) {
-	s, ok := c.Suspect(t.Print)
+	s, ok := c.Suspect(t.Fingerprint)
 	switch {
 	case !ok:
 		return bronzerill.Changes{}, bronzerill.KindAborted
--- a/internal/control/state/suspect_test.go
+++ b/internal/control/state/suspect_test.go
@@ -12,16 +12,16 @@
 	"bronzerill"
 )
 
-func (h *harness) crash(agent, id string, prints ...string) {
-	h.apply(Command{Crash: &Crash{Pool: "bronze-guides", Agent: agent, ID: id, Prints: prints}})
+func (h *harness) crash(agent, id string, fingerprints ...string) {
+	h.apply(Command{Crash: &Crash{Pool: "bronze-guides", Agent: agent, ID: id, Fingerprints: fingerprints}})
 }
 
-func (h *harness) trial(print, agent string) bronzerill.Kind {
-	return h.apply(Command{Trial: &Trial{Print: print, Agent: agent}}).Kind
+func (h *harness) trial(fingerprint, agent string) bronzerill.Kind {
+	return h.apply(Command{Trial: &Trial{Fingerprint: fingerprint, Agent: agent}}).Kind
 }
 
-func (h *harness) state(print string) bronzerill.SuspectState {
-	s, _ := h.m.Config().Suspect(print)
+func (h *harness) state(fingerprint string) bronzerill.SuspectState {
+	s, _ := h.m.Config().Suspect(fingerprint)
 	return s.State
 }
 
@@ -34,7 +34,7 @@
 
 	require.Equal(t, bronzerill.KindNone, h.trial("innocent", "server-2"))
 	assert.Equal(t, bronzerill.KindSuspect, h.trial("guilty", "server-3"), "one trial at a time in a pool")
-	h.apply(Command{Verdict: &Verdict{Print: "innocent", Agent: "server-2", Cleared: true}})
+	h.apply(Command{Verdict: &Verdict{Fingerprint: "innocent", Agent: "server-2", Cleared: true}})
 	assert.Empty(t, h.state("innocent"))
 
 	require.Equal(t, bronzerill.KindNone, h.trial("guilty", "server-3"))
@@ -77,16 +77,16 @@
 	h := newHarness(t)
 	h.crash("server-1", "1/a", "guilty")
 	require.Equal(t, bronzerill.KindNone, h.trial("guilty", "server-2"))
-	h.apply(Command{Verdict: &Verdict{Print: "guilty", Agent: "server-9", Cleared: true}})
+	h.apply(Command{Verdict: &Verdict{Fingerprint: "guilty", Agent: "server-9", Cleared: true}})
 	assert.Equal(t, bronzerill.SuspectTrial, h.state("guilty"), "a verdict from elsewhere counts nothing")
-	h.apply(Command{Verdict: &Verdict{Print: "guilty", Agent: "server-2"}})
+	h.apply(Command{Verdict: &Verdict{Fingerprint: "guilty", Agent: "server-2"}})
 	assert.Equal(t, bronzerill.SuspectHeld, h.state("guilty"))
 }
 
 func TestSuspectsAreReleased(t *testing.T) {
 	h := newHarness(t)
 	h.crash("server-1", "1/a", "first", "second")
-	h.apply(Command{Pardon: &Pardon{Print: "first"}})
+	h.apply(Command{ClearSuspect: &ClearSuspect{Fingerprint: "first"}})
 	assert.Empty(t, h.state("first"))
 	h.now = h.now.Add(HoldTime + time.Second)
 	h.apply(Command{Expire: &Expire{}})
@@ -95,12 +95,12 @@
 
 func TestSuspectTableIsBounded(t *testing.T) {
 	h := newHarness(t)
-	for crash := range 2 * maxSuspects / maxCrashPrints {
-		var prints []string
-		for n := range maxCrashPrints {
-			prints = append(prints, fmt.Sprintf("%d-%d", crash, n))
+	for crash := range 2 * maxSuspects / maxCrashFingerprints {
+		var fingerprints []string
+		for n := range maxCrashFingerprints {
+			fingerprints = append(fingerprints, fmt.Sprintf("%d-%d", crash, n))
 		}
-		h.crash("server-1", fmt.Sprint(crash), prints...)
+		h.crash("server-1", fmt.Sprint(crash), fingerprints...)
 	}
 	assert.LessOrEqual(t, h.m.Config().SuspectCount(), maxSuspects)
 }
@@ -121,7 +121,7 @@
 			}
 			switch random.IntN(4) {
 			case 0:
-				h.apply(Command{Verdict: &Verdict{Print: "guilty", Agent: agent}})
+				h.apply(Command{Verdict: &Verdict{Fingerprint: "guilty", Agent: agent}})
 			case 1:
 				lost++
 				h.apply(Command{Abandon: &Abandon{Agent: agent}})
--- a/internal/entry/agent/forwarder.go
+++ b/internal/entry/agent/forwarder.go
@@ -77,11 +77,11 @@
 // search is the state of one request's way to a server.
 type search struct {
 	*Forwarder
-	q         Request
-	out       *headOutput
-	patience  time.Time
-	attempts  int
-	lastError error
+	q          Request
+	out        *headOutput
+	queueUntil time.Time
+	attempts   int
+	lastError  error
 	// ranError is the failure of an attempt that may have run, when the
 	// request was sent again after it.
 	ranError error
@@ -104,8 +104,8 @@
 func (f *Forwarder) Do(ctx context.Context, q Request, out Output) error {
 	f.budget.Requested()
 	now := f.cfg.Clock()
-	s := &search{Forwarder: f, q: q, out: &headOutput{Output: out}, patience: now.Add(q.Policy.Patience())}
-	key := ring.Key(q.Open.Customer, q.Open.Chat, q.Open.Print)
+	s := &search{Forwarder: f, q: q, out: &headOutput{Output: out}, queueUntil: now.Add(q.Policy.QueueTimeout())}
+	key := ring.Key(q.Open.Customer, q.Open.Chat, q.Open.Fingerprint)
 	for {
 		plan, err := s.plan(key)
 		if err != nil {
@@ -153,7 +153,7 @@
 			return true, nil
 		}
 		s.lastError = err
-		if !s.mayGoOn(ctx, server, err) {
+		if !s.canTryNext(ctx, server, err) {
 			return true, err
 		}
 	}
@@ -173,26 +173,26 @@
 	if err != nil {
 		s.cfg.Log.Debug("attempt failed", "request", o.ID.Request, "attempt", o.ID.Attempt, "server", server.Name, "kind", bronzerill.KindOf(err).String())
 	}
-	if bronzerill.KindOf(err) == bronzerill.KindAgentGone && o.Print != "" {
-		s.reportGone(server, o.Print)
+	if bronzerill.KindOf(err) == bronzerill.KindAgentGone && o.Fingerprint != "" {
+		s.reportGone(server, o.Fingerprint)
 	}
 	return err
 }
 
 // reportGone makes the request a suspect, and holds its answer until every
 // agent knows: the agent itself can't tell any more.
-func (s *search) reportGone(server control.Server, print string) {
+func (s *search) reportGone(server control.Server, fingerprint string) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
 	defer cancel()
 	id := strconv.FormatUint(server.Generation, 10) + "/gone"
-	crash := state.Crash{Pool: server.Pool, Agent: server.Name, ID: id, Prints: []string{print}}
+	crash := state.Crash{Pool: server.Pool, Agent: server.Name, ID: id, Fingerprints: []string{fingerprint}}
 	if err := s.cfg.Crashes.LostAgent(ctx, crash); err != nil {
 		s.cfg.Log.Warn("lost agent not reported", "server", server.Name, "error", err.Error())
 	}
 }
 
-// mayGoOn decides whether another server may be asked after an error.
-func (s *search) mayGoOn(ctx context.Context, server control.Server, err error) bool {
+// canTryNext decides whether another server may be asked after an error.
+func (s *search) canTryNext(ctx context.Context, server control.Server, err error) bool {
 	kind := bronzerill.KindOf(err)
 	now := s.cfg.Clock()
 	if ctx.Err() != nil || s.out.headed {
@@ -225,13 +225,13 @@
 	return true
 }
 
-// pause waits until a server may be asked again, within the policy's patience.
+// pause waits until a server may be asked again, within the policy's queue timeout.
 func (s *search) pause(ctx context.Context, until time.Time) error {
 	now := s.cfg.Clock()
 	if until.IsZero() {
 		until = now.Add(fullPause)
 	}
-	if until.After(s.patience) {
+	if until.After(s.queueUntil) {
 		return s.giveUp()
 	}
 	if s.waiting.Add(1) > maxWaiting {
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -135,7 +135,7 @@
 	}
 	q := agent.Request{Policy: policy, Repeatable: true}
 	q.Preferred = s.hints.open(customer.Name, chat, r.Header.Get(HeaderHint))
-	q.Open = exchange.Open{Path: PathChat, Chat: chat, Print: fingerprint(customer.Name, PathChat, body)}
+	q.Open = exchange.Open{Path: PathChat, Chat: chat, Fingerprint: fingerprint(customer.Name, PathChat, body)}
 	return q, nil
 }
 
@@ -158,7 +158,7 @@
 		path += "?" + r.URL.RawQuery
 	}
 	q := agent.Request{Policy: policy, Repeatable: repeatable}
-	q.Open = exchange.Open{Path: path, Key: key, Print: ""}
+	q.Open = exchange.Open{Path: path, Key: key, Fingerprint: ""}
 	if key != "" {
 		// The key spreads calls over the pool and brings resends together.
 		q.Open.Chat = key
--- a/internal/entry/caller/server_test.go
+++ b/internal/entry/caller/server_test.go
@@ -183,7 +183,7 @@
 	assert.Equal(t, exchange.PriorityBatch, o.Priority)
 	assert.Equal(t, response.header.Get(HeaderRequest), o.ID.Request)
 	assert.Equal(t, goodChat, string(o.Body))
-	assert.NotEmpty(t, o.Print)
+	assert.NotEmpty(t, o.Fingerprint)
 	assert.True(t, f.got.Repeatable)
 }
 
--- a/internal/run/agent/handover.go
+++ b/internal/run/agent/handover.go
@@ -42,9 +42,9 @@
 	http     *http.Client
 }
 
-// heir returns the server that entries choose for a chat once this one takes no
+// successor returns the server that entries choose for a chat once this one takes no
 // more work.
-func (h *handover) heir(r *ring.Ring, c *bronzerill.Config, chat engine.ServedChat) (wire.Server, bool) {
+func (h *handover) successor(r *ring.Ring, c *bronzerill.Config, chat engine.ServedChat) (wire.Server, bool) {
 	key := ring.Key(chat.Customer, chat.Chat, "")
 	for nth := range 2 * r.Len() {
 		s := r.Server(r.Choose(key, nth))
@@ -65,12 +65,12 @@
 	r := ring.New(servers)
 	moved := 0
 	for _, chat := range chats {
-		heir, ok := h.heir(r, v.Config, chat)
+		successor, ok := h.successor(r, v.Config, chat)
 		if !ok || ctx.Err() != nil {
 			break
 		}
-		if err := h.move(ctx, chat.Chat, heir.Addr); err != nil {
-			h.log.Debug("cache not handed over", "to", heir.Name, "error", err.Error())
+		if err := h.move(ctx, chat.Chat, successor.Addr); err != nil {
+			h.log.Debug("cache not handed over", "to", successor.Name, "error", err.Error())
 			continue
 		}
 		metrics.Count(metrics.EventHandover)
@@ -88,7 +88,7 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+exchange.PathCache+chat, bytes.NewReader(data))
 	if err != nil {
-		return errors.Wrap(err, "heir's address")
+		return errors.Wrap(err, "successor's address")
 	}
 	exchange.Authorize(request, h.secret)
 	response, err := h.http.Do(request)
@@ -97,7 +97,7 @@
 	}
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusNoContent {
-		return errors.Errorf("heir answers %s", response.Status)
+		return errors.Errorf("successor answers %s", response.Status)
 	}
 	return nil
 }
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -208,15 +208,15 @@
 
 // reportCrash makes suspects of what runs, and returns when every agent knows.
 func (r *Role) reportCrash(ctx context.Context, lost string) {
-	var prints []string
-	r.server.WithGate(func(g *admission.Gate) { prints = g.Prints() })
-	if len(prints) == 0 {
+	var fingerprints []string
+	r.server.WithGate(func(g *admission.Gate) { fingerprints = g.Fingerprints() })
+	if len(fingerprints) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
 	defer cancel()
 	id := strconv.FormatUint(r.generation.Load(), 10) + "/" + lost
-	crash := state.Crash{Pool: r.settings.Pool, Agent: r.settings.Server, ID: id, Prints: prints}
+	crash := state.Crash{Pool: r.settings.Pool, Agent: r.settings.Server, ID: id, Fingerprints: fingerprints}
 	if err := r.cfg.Client.Crash(ctx, crash); err != nil {
 		r.cfg.Log.Error("crash not known everywhere", "error", err.Error())
 	}
@@ -250,11 +250,11 @@
 var _ entry.Trials = trials{}
 
 // StartTrial asks for the right to run a suspect alone.
-func (t trials) StartTrial(ctx context.Context, print string) error {
-	return t.client.StartTrial(ctx, state.Trial{Print: print, Agent: t.agent})
+func (t trials) StartTrial(ctx context.Context, fingerprint string) error {
+	return t.client.StartTrial(ctx, state.Trial{Fingerprint: fingerprint, Agent: t.agent})
 }
 
 // EndTrial reports what the trial showed.
-func (t trials) EndTrial(ctx context.Context, print string, cleared bool) error {
-	return t.client.EndTrial(ctx, state.Verdict{Print: print, Agent: t.agent, Cleared: cleared})
+func (t trials) EndTrial(ctx context.Context, fingerprint string, cleared bool) error {
+	return t.client.EndTrial(ctx, state.Verdict{Fingerprint: fingerprint, Agent: t.agent, Cleared: cleared})
 }
--- a/internal/trial/measure/control.go
+++ b/internal/trial/measure/control.go
@@ -29,8 +29,8 @@
 	steadyTime      = 5 * time.Second
 	ticketRounds    = 8
 	seedCustomers   = 1400
-	leaderPatience  = 15 * time.Second
-	holderPatience  = 30 * time.Second
+	leaderTimeout   = 15 * time.Second
+	holderTimeout   = 30 * time.Second
 	ticketBatchSize = 200
 )
 
@@ -105,16 +105,16 @@
 	})
 	group.Go(func() error { return rpc.Serve(ctx, listener) })
 	group.Go(func() error { return b.service.Run(ctx) })
-	return b, b.await(leaderPatience, func() bool { return b.node.HasLease(time.Now()) })
+	return b, b.await(leaderTimeout, func() bool { return b.node.HasLease(time.Now()) })
 }
 
-func (b *bench) await(patience time.Duration, done func() bool) error {
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+func (b *bench) await(timeout time.Duration, done func() bool) error {
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		if done() {
 			return nil
 		}
 	}
-	return errors.Errorf("not reached within %s", patience)
+	return errors.Errorf("not reached within %s", timeout)
 }
 
 func (b *bench) submit(changes bronzerill.Changes) (uint64, error) {
@@ -210,7 +210,7 @@
 	}
 	before := heap()
 	list := b.keepers(count, asAgents)
-	if err := b.await(holderPatience, func() bool { return allAt(list, b.machine.Config().Revision()) }); err != nil {
+	if err := b.await(holderTimeout, func() bool { return allAt(list, b.machine.Config().Revision()) }); err != nil {
 		return err
 	}
 	perHolder := float64(heap()-before) / float64(count) / 1024
@@ -260,7 +260,7 @@
 		if err != nil {
 			return 0, 0, err
 		}
-		if err := b.await(holderPatience, func() bool { return allAt(list, revision) }); err != nil {
+		if err := b.await(holderTimeout, func() bool { return allAt(list, revision) }); err != nil {
 			return 0, 0, err
 		}
 		times = append(times, time.Since(started))
--- a/internal/wire/control/ledger.go
+++ b/internal/wire/control/ledger.go
@@ -33,9 +33,9 @@
 	return err
 }
 
-// Doubt records that a call's answer was lost.
-func (c *Client) Doubt(ctx context.Context, d state.Doubt) error {
-	_, err := Call(ctx, c, "Doubt", &DoubtRequest{d}, newAck)
+// MarkUnknown records that a call's answer was lost.
+func (c *Client) MarkUnknown(ctx context.Context, d state.MarkUnknown) error {
+	_, err := Call(ctx, c, "MarkUnknown", &MarkUnknownRequest{d}, newAck)
 	return err
 }
 
--- a/internal/wire/control/message.go
+++ b/internal/wire/control/message.go
@@ -147,8 +147,8 @@
 // ReleaseRequest gives a claim back.
 type ReleaseRequest struct{ Release state.Release }
 
-// DoubtRequest records that a call's answer was lost.
-type DoubtRequest struct{ Doubt state.Doubt }
+// MarkUnknownRequest records that a call's answer was lost.
+type MarkUnknownRequest struct{ MarkUnknown state.MarkUnknown }
 
 // CrashRequest reports what ran when a server crashed.
 type CrashRequest struct {
--- a/internal/wire/exchange/message.go
+++ b/internal/wire/exchange/message.go
@@ -90,9 +90,9 @@
 	Priority    Priority
 	// Timeout is what is left of the caller's deadline.
 	Timeout time.Duration
-	// Print is the fingerprint of customer, route and body.
-	Print string
-	Body  []byte
+	// Fingerprint is the fingerprint of customer, route and body.
+	Fingerprint string
+	Body        []byte
 	// Attach goes on with a running exchange at Offset and never starts one. An
 	// agent that doesn't know the ID will refuse to start it later.
 	Attach bool
--- a/internal/wire/netrpc/netrpc_test.go
+++ b/internal/wire/netrpc/netrpc_test.go
@@ -42,8 +42,8 @@
 	return listener.Addr().String()
 }
 
-func say(c *Client, word string, patience time.Duration) (string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+func say(c *Client, word string, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var reply string
 	err := c.Call(ctx, "Echo.Say", &word, &reply)
--- a/internal/wire/ring/ring.go
+++ b/internal/wire/ring/ring.go
@@ -130,9 +130,9 @@
 }
 
 // Key returns the ring key of a chat or, without one, of a fingerprint.
-func Key(customer, chat, print string) uint64 {
+func Key(customer, chat, fingerprint string) uint64 {
 	if chat == "" {
-		return xxhash.Sum64String(print)
+		return xxhash.Sum64String(fingerprint)
 	}
 	return xxhash.Sum64String(customer + "\x00" + chat)
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -173,7 +173,7 @@
 	printf '[[customer]]\nname = "%s"\nkey-hash = "%s"\nweight = %s\n' "$1" "$("$BIN/bronzerill-trial" key-hash "$2")" "$3"
 }
 
-# policy NAME POOL HOPS PATIENCE-MS
+# policy NAME POOL HOPS QUEUE-TIMEOUT-MS
 policy() {
-	printf '[[policy]]\nname = "%s"\npool = "%s"\nspill-hops = %s\npatience-ms = %s\n' "$1" "$2" "$3" "$4"
+	printf '[[policy]]\nname = "%s"\npool = "%s"\nspill-hops = %s\nqueue-timeout-ms = %s\n' "$1" "$2" "$3" "$4"
 }
--- a/ticket.go
+++ b/ticket.go
@@ -110,7 +110,7 @@
 func (v *validator) policy(p Policy) {
 	v.name("policy", p.Name)
 	v.check(p.SpillHops >= 1 && p.SpillHops <= 16, "policy %q: spill-hops %d, want 1 to 16", p.Name, p.SpillHops)
-	v.check(p.PatienceMillis >= 0 && p.PatienceMillis <= 60_000, "policy %q: patience-ms %d, want 0 to 60000", p.Name, p.PatienceMillis)
+	v.check(p.QueueTimeoutMillis >= 0 && p.QueueTimeoutMillis <= 60_000, "policy %q: queue-timeout-ms %d, want 0 to 60000", p.Name, p.QueueTimeoutMillis)
 }
 
 func (v *validator) order(o Order) {
