An attempt that waited for another one never says not run

Found by reading: a resend that waits for a running claim and then loses the ledger was told not-run, though the other attempt may have booked. That a refused resend says nothing about an earlier attempt is now written down.

--- a/internal/agent/service/once_test.go
+++ b/internal/agent/service/once_test.go
@@ -200,3 +200,31 @@
 		require.NoError(t, w.startProcess("server-1").runner().Run(t.Context(), open("k", "r2", "1"), &sink{}))
 	})
 }
+
+// waitThenLost is a ledger that says wait, and is then cut off.
+type waitThenLost struct {
+	*process
+	asked int
+}
+
+// Claim tells to wait, then nothing more.
+func (l *waitThenLost) Claim(context.Context, state.Claim) (state.Decision, state.Reply, error) {
+	l.asked++
+	if l.asked == 1 {
+		return state.DecisionWait, state.Reply{}, nil
+	}
+	return state.DecisionRefuse, state.Reply{}, errLost
+}
+
+// TestWaitingAttemptNeverSaysNotRun cuts the ledger off from an attempt that
+// waits for another one: the booking may well have run.
+func TestWaitingAttemptNeverSaysNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 0)
+		p := w.startProcess("server-0")
+		r := p.runner()
+		r.cfg.Ledger = &waitThenLost{process: p}
+		err := r.Run(t.Context(), open("k", "r2", "1"), &sink{})
+		assert.Equal(t, bronzerill.KindInProgress, bronzerill.KindOf(err), "%v", err)
+	})
+}
--- a/internal/agent/service/runner.go
+++ b/internal/agent/service/runner.go
@@ -104,8 +104,13 @@
 	key := state.Key{Customer: o.Customer, Pool: o.Pool, Value: o.Key}
 	attempt := state.Attempt{Agent: r.cfg.Agent, Generation: r.cfg.Generation(), ID: o.ID.Request + "." + o.ID.Attempt}
 	claim := state.Claim{Key: key, BodyHash: bodyHash(o), Attempt: attempt}
+	waited := false
 	for {
 		decision, reply, err := r.claim(ctx, claim)
+		if waited && err != nil && bronzerill.KindOf(err).Answer().Run == bronzerill.RunNot {
+			// Another attempt was running, so "not run" could be untrue.
+			return bronzerill.Errorf(bronzerill.KindInProgress, "lost sight of another attempt: %v", err)
+		}
 		if err != nil {
 			return err
 		}
@@ -116,6 +121,7 @@
 			metrics.Count(metrics.EventReplayed)
 			return deliver(sink, reply, true)
 		}
+		waited = true
 		select {
 		case <-ctx.Done():
 			return bronzerill.Errorf(bronzerill.KindInProgress, "another attempt under this key runs")
