A test of a killed agent closes its connections first

Seen: TestAgentReplacedInFlight failed once in a run of the check beside the matrix (canceled where agent-gone belongs). Cause: the test's process was stopped before its connections, and could tell the entry of its own end, which no killed process does. Change: connections first; the check itself is as strict as before.

--- a/internal/entry/agent/exchange_test.go
+++ b/internal/entry/agent/exchange_test.go
@@ -95,9 +95,11 @@
 	return f
 }
 
+// close ends the process as a kill does: its connections go first, so that it
+// has no last word.
 func (f *fleetOfOne) close() {
-	f.stop()
 	_ = f.web.Close()
+	f.stop()
 	_ = f.group.Wait()
 }
 
