A stopped agent's last word can't end its successor's lease

Found by reading: both processes of an agent hold under one name, and a release that came late removed the newer lease from the leader's table; until its next renewal a revision could be called in force that it didn't have. Test failed first. Also: status prints kebab-case keys.

--- a/internal/control/holder/report_test.go
+++ b/internal/control/holder/report_test.go
@@ -154,3 +154,24 @@
 	assert.False(t, renewAgent(table, start, c, "server-1", "gramado", control.ServerReady, control.Load{}).Leaving, "the list may take it back")
 	assert.Equal(t, control.ServerReady, table.Servers()[0].State)
 }
+
+// TestLateReleaseOfAnEarlierProcess lets the last word of a stopped agent arrive
+// after its successor has renewed: the successor's lease must still count.
+func TestLateReleaseOfAnEarlierProcess(t *testing.T) {
+	start := time.Now()
+	c := poolConfig()
+	table := NewTable(start, 1)
+	now := start.Add(settleTime)
+	renew := func(generation, revision uint64, released bool) {
+		table.Renew(now, c, &control.RenewRequest{
+			Holder: "agent/server-1", Generation: generation, Revision: revision, Released: released,
+			Server: &control.Server{Name: "server-1", Pool: "bronze-guides", State: control.ServerReady},
+		})
+	}
+	renew(1, 0, false)
+	renew(2, 0, false)
+	renew(1, 0, true)
+	assert.False(t, table.InForce(now, c.Revision()), "the successor may act on the older revision")
+	renew(2, 0, true)
+	assert.True(t, table.InForce(now, c.Revision()))
+}
--- a/internal/control/holder/table.go
+++ b/internal/control/holder/table.go
@@ -33,6 +33,8 @@
 	until time.Time
 	// revision is what the holder said it has.
 	revision uint64
+	// generation is the process that renewed last.
+	generation uint64
 }
 
 // row is one backend server as the leader knows it.
@@ -102,7 +104,7 @@
 	if _, ok := t.holders[q.Holder]; !ok && len(t.holders) >= maxHolders {
 		return control.RenewReply{Failure: control.Failure{Kind: bronzerill.KindTableFull, Detail: "lease holders"}}
 	}
-	t.holders[q.Holder] = lease{until: now.Add(control.LeaseTerm), revision: q.Revision}
+	t.holders[q.Holder] = lease{until: now.Add(control.LeaseTerm), revision: q.Revision, generation: q.Generation}
 	var reply control.RenewReply
 	if q.Revision < c.Revision() {
 		d := c.DeltaSince(q.Revision)
@@ -120,7 +122,10 @@
 }
 
 func (t *Table) release(q *control.RenewRequest) {
-	delete(t.holders, q.Holder)
+	// The last word of an earlier process must not end its successor's lease.
+	if t.holders[q.Holder].generation == q.Generation {
+		delete(t.holders, q.Holder)
+	}
 	if q.Server == nil {
 		return
 	}
--- a/internal/control/replica/members.go
+++ b/internal/control/replica/members.go
@@ -10,23 +10,23 @@
 // Member is one replica of the group.
 type Member struct {
 	// Name is unique for ever: a replaced replica comes back under a new one.
-	Name string `msgpack:"n"`
+	Name string `json:"name" msgpack:"n"`
 	// Addr is the IP number and port for messages between replicas.
-	Addr string `msgpack:"a"`
+	Addr string `json:"addr" msgpack:"a"`
 	// Folder is the identity of the member's data folder, empty until the first
 	// leader has heard it. A member that speaks for another folder has lost its
 	// disk, and is ignored.
-	Folder string `msgpack:"f,omitempty"`
+	Folder string `json:"folder" msgpack:"f,omitempty"`
 	// Voter is false for a learner.
-	Voter bool `msgpack:"v"`
+	Voter bool `json:"voter" msgpack:"v"`
 	// Replaces names the member that leaves once this one has caught up.
-	Replaces string `msgpack:"r,omitempty"`
+	Replaces string `json:"replaces,omitempty" msgpack:"r,omitempty"`
 }
 
 // Members is an immutable list of replicas. Two successive lists differ by one
 // voter at most, so their quorums overlap.
 type Members struct {
-	List []Member `msgpack:"l"`
+	List []Member `json:"list" msgpack:"l"`
 }
 
 // Get returns the member of that name.
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -71,14 +71,14 @@
 
 // Status is a replica's view of its group.
 type Status struct {
-	Name     string
-	Leader   string
-	IsLeader bool
-	Term     uint64
-	Applied  uint64
-	Members  Members
+	Name     string  `json:"name"`
+	Leader   string  `json:"leader"`
+	IsLeader bool    `json:"is-leader"`
+	Term     uint64  `json:"term"`
+	Applied  uint64  `json:"applied"`
+	Members  Members `json:"members"`
 	// Lease reports whether the replica may answer for the group.
-	Lease bool
+	Lease bool `json:"lease"`
 }
 
 // Node drives one replica: it saves, sends and applies what the core asks.
--- a/scripts/matrix.sh
+++ b/scripts/matrix.sh
@@ -66,7 +66,7 @@
 	local n
 	for n in 1 2 3; do
 		[ -n "${PIDS[control-$n]:-}" ] || continue
-		if operate status --operator "$(operator_addr "$n")" --secret-file "$DIR/operator.secret" | grep -q '"Lease": true'; then
+		if operate status --operator "$(operator_addr "$n")" --secret-file "$DIR/operator.secret" | grep -q '"lease": true'; then
 			echo "$n"
 			return
 		fi
@@ -181,7 +181,7 @@
 	lead=$(leader)
 	kill_hard "control-$lead"
 	sleep 6
-	if operate status $(OPERATORS) | grep -q '"Lease": true'; then fail "a replica that forgot helped to elect a leader"; fi
+	if operate status $(OPERATORS) | grep -q '"lease": true'; then fail "a replica that forgot helped to elect a leader"; fi
 	run_role "control-$lead"
 	write_ticket 2 2
 	submit "$DIR/ticket-2.toml" || fail "ticket after the real replica came back"
