--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -15,6 +15,7 @@
 	"bronzerill"
 	"bronzerill/internal/agent/admission"
 	"bronzerill/internal/operator/metrics"
+	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
 )
@@ -107,16 +108,7 @@
 
 // Run keeps the table of exchanges until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.table.tick(s.cfg.Clock())
-		}
-	}
+	return ticker.Every(ctx, tickInterval, func(context.Context) { s.table.tick(s.cfg.Clock()) })
 }
 
 // Busy reports whether requests run, or entries still follow an answer.
@@ -315,8 +307,8 @@
 func (st *stream) follow(ctx context.Context, a *answer, o exchange.Open) {
 	offset := o.Offset
 	headed := false
-	ticker := time.NewTicker(exchange.KeepAliveInterval)
-	defer ticker.Stop()
+	keepAlive := time.NewTicker(exchange.KeepAliveInterval)
+	defer keepAlive.Stop()
 	if st.send(exchange.Frame{Type: exchange.FrameKeepAlive}) != nil {
 		return
 	}
@@ -333,7 +325,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-ticker.C:
+		case <-keepAlive.C:
 			if st.send(exchange.Frame{Type: exchange.FrameKeepAlive}) != nil {
 				return
 			}
--- a/internal/control/holder/service.go
+++ b/internal/control/holder/service.go
@@ -11,6 +11,7 @@
 	"bronzerill/internal/control/replica"
 	"bronzerill/internal/control/state"
 	"bronzerill/internal/platform/list"
+	"bronzerill/internal/run/ticker"
 )
 
 // Timing of the service.
@@ -62,20 +63,15 @@
 
 // Run keeps the tables until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		now := s.cfg.Clock()
-		s.tick(now)
-		for _, c := range s.duties(now) {
-			if _, err := s.Propose(ctx, c); err != nil {
-				s.cfg.Log.Warn("duty not done", "error", err.Error())
-			}
+	return ticker.Every(ctx, tickInterval, s.runTick)
+}
+
+func (s *Service) runTick(ctx context.Context) {
+	now := s.cfg.Clock()
+	s.tick(now)
+	for _, c := range s.duties(now) {
+		if _, err := s.Propose(ctx, c); err != nil {
+			s.cfg.Log.Warn("duty not done", "error", err.Error())
 		}
 	}
 }
@@ -85,21 +81,16 @@
 	if s.cfg.List == nil {
 		return nil
 	}
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
-	for {
-		d, err := s.cfg.List.Fetch(ctx)
-		if err != nil {
-			s.cfg.Log.Warn("instance list not read", "error", err.Error())
-		} else {
-			s.setLeaving(d.Leaving())
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return ticker.Every(ctx, listInterval, s.readList)
+}
+
+func (s *Service) readList(ctx context.Context) {
+	d, err := s.cfg.List.Fetch(ctx)
+	if err != nil {
+		s.cfg.Log.Warn("instance list not read", "error", err.Error())
+		return
 	}
+	s.setLeaving(d.Leaving())
 }
 
 func (s *Service) setLeaving(leaving map[string]bool) {
--- a/internal/entry/agent/exchange_test.go
+++ b/internal/entry/agent/exchange_test.go
@@ -103,6 +103,17 @@
 	_ = f.group.Wait()
 }
 
+// startPair starts an agent process and a client over a network with faults.
+func startPair(faults ...fault) (n *network, f *fleetOfOne, client *Client, stop func()) {
+	n = newNetwork(faults...)
+	f = startFleet(n, 1)
+	client = NewClient(ClientConfig{Secret: testSecret, Dialer: n})
+	return n, f, client, func() {
+		client.Close()
+		f.close()
+	}
+}
+
 // text is an Output that keeps the answer.
 type text struct {
 	mu   sync.Mutex
@@ -150,11 +161,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				n := newNetwork(c.faults...)
-				f := startFleet(n, 1)
-				defer f.close()
-				client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
-				defer client.Close()
+				_, f, client, stop := startPair(c.faults...)
+				defer stop()
 				out := &text{}
 				err := client.Exchange(t.Context(), agentAddr, testOpen("r1"), out)
 				assert.LessOrEqual(t, f.runs["r1"], 1)
@@ -175,11 +183,8 @@
 // the answer as cut off, never as whole.
 func TestCutForGoodIsNeverAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(fault{cutAfter: 900}, fault{cutAfter: 900}, fault{cutAfter: 900}, fault{cutAfter: 900}, fault{cutAfter: 900})
-		f := startFleet(n, 1)
-		defer f.close()
-		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
-		defer client.Close()
+		_, f, client, stop := startPair(fault{cutAfter: 900}, fault{cutAfter: 900}, fault{cutAfter: 900}, fault{cutAfter: 900}, fault{cutAfter: 900})
+		defer stop()
 		err := client.Exchange(t.Context(), agentAddr, testOpen("r1"), &text{})
 		assert.Equal(t, bronzerill.KindTruncated, bronzerill.KindOf(err))
 		assert.Equal(t, 1, f.runs["r1"])
@@ -212,11 +217,8 @@
 // kind must be the one that makes it a suspect.
 func TestSilentHostIsAgentGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(fault{silentAfter: 900})
-		f := startFleet(n, 1)
-		defer f.close()
-		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
-		defer client.Close()
+		n, _, client, stop := startPair(fault{silentAfter: 900})
+		defer stop()
 		var group errgroup.Group
 		group.Go(func() error { return client.Exchange(t.Context(), agentAddr, testOpen("r1"), &text{}) })
 		time.Sleep(100 * time.Millisecond)
@@ -228,11 +230,8 @@
 
 func TestDeadlineIsNotAHangUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		f := startFleet(n, 1)
-		defer f.close()
-		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
-		defer client.Close()
+		_, _, client, stop := startPair()
+		defer stop()
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
 		err := client.Exchange(ctx, agentAddr, testOpen("r1"), &text{})
@@ -254,11 +253,8 @@
 // it was told that it never ran.
 func TestLateRequestAfterItsRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		f := startFleet(n, 1)
-		defer f.close()
-		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
-		defer client.Close()
+		_, f, client, stop := startPair()
+		defer stop()
 		attach := testOpen("r1")
 		attach.Attach = true
 		assert.Equal(t, bronzerill.KindAborted, bronzerill.KindOf(client.Exchange(t.Context(), agentAddr, attach, &text{})))
@@ -269,11 +265,8 @@
 
 func TestDoubledRequestRunsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		f := startFleet(n, 1)
-		defer f.close()
-		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
-		defer client.Close()
+		_, f, client, stop := startPair()
+		defer stop()
 		var group errgroup.Group
 		outs := [3]text{}
 		for i := range outs {
@@ -289,11 +282,8 @@
 
 func TestHangUpCancelsTheRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		f := startFleet(n, 1)
-		defer f.close()
-		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
-		defer client.Close()
+		_, f, client, stop := startPair()
+		defer stop()
 		err := client.Exchange(t.Context(), agentAddr, testOpen("r1"), &text{failAfter: 300})
 		assert.Equal(t, bronzerill.KindCanceled, bronzerill.KindOf(err))
 		time.Sleep(time.Second)
@@ -306,11 +296,8 @@
 // TestDrainFinishesWhatRuns refuses new work at once and cuts nothing.
 func TestDrainFinishesWhatRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		f := startFleet(n, 1)
-		defer f.close()
-		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
-		defer client.Close()
+		_, f, client, stop := startPair()
+		defer stop()
 		out := &text{}
 		var group errgroup.Group
 		group.Go(func() error { return client.Exchange(t.Context(), agentAddr, testOpen("r1"), out) })
@@ -342,11 +329,8 @@
 // whether they are answered or refused.
 func TestConnectionIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
-		f := startFleet(n, 1)
-		defer f.close()
-		client := NewClient(ClientConfig{Secret: testSecret, Dialer: n})
-		defer client.Close()
+		n, _, client, stop := startPair()
+		defer stop()
 		for i := range 5 {
 			assert.NoError(t, client.Exchange(t.Context(), agentAddr, testOpen(fmt.Sprint("r", i)), &text{}))
 			refused := testOpen(fmt.Sprint("refused-", i))
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -19,6 +19,7 @@
 	"bronzerill/internal/agent/entry"
 	"bronzerill/internal/agent/service"
 	"bronzerill/internal/control/state"
+	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
 )
@@ -128,10 +129,12 @@
 		Down:   func(down bool) { r.server.WithGate(func(g *admission.Gate) { g.SetDown(down) }) },
 		Crash:  r.reportCrash,
 	})
-	r.group.Go(func() error { return every(ctx, pollInterval, r.engine.Poll) })
-	r.group.Go(func() error { return every(ctx, pollInterval, r.watchDeparture) })
+	r.group.Go(func() error { return ticker.Every(ctx, pollInterval, r.engine.Poll) })
+	r.group.Go(func() error { return ticker.Every(ctx, pollInterval, r.watchDeparture) })
 	orders := newOrders(client, r.settings.Server, r.cfg.Log)
-	r.group.Go(func() error { return every(ctx, pollInterval, func(ctx context.Context) { r.giveOrder(ctx, orders) }) })
+	r.group.Go(func() error {
+		return ticker.Every(ctx, pollInterval, func(ctx context.Context) { r.giveOrder(ctx, orders) })
+	})
 	return r.engine
 }
 
@@ -143,20 +146,6 @@
 	return r.engineClient.ImportCache
 }
 
-// every runs a step at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, step func(ctx context.Context)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		step(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
 func (r *Role) serve(ctx context.Context, listener net.Listener) {
 	web := &http.Server{Handler: r.server.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	r.group.Go(func() error {
--- a/internal/run/entry/role.go
+++ b/internal/run/entry/role.go
@@ -16,6 +16,7 @@
 
 	"bronzerill/internal/entry/agent"
 	"bronzerill/internal/entry/caller"
+	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
 )
@@ -87,7 +88,9 @@
 	}
 	r := &Role{settings: *cfg.Settings.Entry, keeper: keeper, web: web}
 	group.Go(func() error { return keeper.Run(ctx) })
-	group.Go(func() error { return tick(ctx, forwarder) })
+	group.Go(func() error {
+		return ticker.Every(ctx, tickInterval, func(context.Context) { forwarder.Tick(time.Now()) })
+	})
 	group.Go(func() error {
 		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "callers' port")
@@ -102,19 +105,6 @@
 	return r, nil
 }
 
-func tick(ctx context.Context, f *agent.Forwarder) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			f.Tick(now)
-		}
-	}
-}
-
 // Ready reports whether callers should be sent here.
 func (r *Role) Ready() bool {
 	return !r.draining.Load() && r.keeper.View().HasLease(time.Now())
--- a/internal/run/process/process.go
+++ b/internal/run/process/process.go
@@ -19,6 +19,7 @@
 	"bronzerill/internal/run/agent"
 	"bronzerill/internal/run/control"
 	"bronzerill/internal/run/entry"
+	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/netrpc"
@@ -151,20 +152,13 @@
 
 // watchReady follows the roles' readiness.
 func (p *process) watchReady(ctx context.Context) error {
-	ticker := time.NewTicker(wire.AgentRenewal / 2)
-	defer ticker.Stop()
-	for {
+	return ticker.Every(ctx, wire.AgentRenewal, func(context.Context) {
 		ready := true
 		for _, role := range p.roles {
 			ready = ready && role.Ready()
 		}
 		p.operator.SetReady(ready)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // drain stops the roles one after the other, so that an entry's callers still
