--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -129,6 +129,23 @@
 	return bronzerill.Errorf(kind, "%s", detail)
 }
 
+// poll asks until done says so. It reports false when the timeout passes or ctx
+// ends first.
+func poll(ctx context.Context, timeout time.Duration, done func(ctx context.Context) (bool, error)) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for {
+		if ok, err := done(ctx); ok || err != nil {
+			return ok, err
+		}
+		select {
+		case <-ctx.Done():
+			return false, nil
+		case <-time.After(callPause):
+		}
+	}
+}
+
 // printJSON writes a value for people and programs.
 func printJSON(c *cli.Command, value any) error {
 	encoder := json.NewEncoder(c.Root().Writer)
--- a/internal/operator/command/fleet.go
+++ b/internal/operator/command/fleet.go
@@ -134,13 +134,15 @@
 	if err := cl.call(ctx, http.MethodPost, "/v1/repair", q, &operator.Reply{}); err != nil {
 		return err
 	}
-	for deadline := time.Now().Add(repairTimeout); time.Now().Before(deadline); time.Sleep(callPause) {
-		if repaired(ctx, cl, q) {
-			_, err := fmt.Fprintf(c.Root().Writer, "%s has replaced %s\n", q.Replacement, q.Lost)
-			return err
-		}
+	done, err := poll(ctx, repairTimeout, func(ctx context.Context) (bool, error) { return repaired(ctx, cl, q), nil })
+	if err != nil {
+		return err
+	}
+	if !done {
+		return errors.Errorf("%s has not caught up after %s; it goes on, see status", q.Replacement, repairTimeout)
 	}
-	return errors.Errorf("%s has not caught up after %s; it goes on, see status", q.Replacement, repairTimeout)
+	_, err = fmt.Fprintf(c.Root().Writer, "%s has replaced %s\n", q.Replacement, q.Lost)
+	return err
 }
 
 // repaired asks every replica, since only the leader's word counts.
--- a/internal/operator/command/ticket.go
+++ b/internal/operator/command/ticket.go
@@ -86,17 +86,21 @@
 	if err := cl.call(ctx, http.MethodPost, "/v1/tickets", t, &reply); err != nil {
 		return err
 	}
-	deadline := time.Now().Add(inForceTimeout)
-	for !reply.InForce && time.Now().Before(deadline) {
-		time.Sleep(callPause)
-		if err := cl.call(ctx, http.MethodGet, "/v1/tickets/"+strconv.FormatUint(t.Number, 10), nil, &reply); err != nil {
-			return err
+	path := "/v1/tickets/" + strconv.FormatUint(t.Number, 10)
+	inForce, err := poll(ctx, inForceTimeout, func(ctx context.Context) (bool, error) {
+		if reply.InForce {
+			return true, nil
 		}
+		err := cl.call(ctx, http.MethodGet, path, nil, &reply)
+		return reply.InForce, err
+	})
+	if err != nil {
+		return err
 	}
-	if !reply.InForce {
+	if !inForce {
 		return bronzerill.Errorf(bronzerill.KindNoQuorum, "ticket %d is accepted, but not known to be in force after %s", t.Number, inForceTimeout)
 	}
-	_, err := fmt.Fprintf(c.Root().Writer, "ticket %d is in force at revision %d\n", t.Number, reply.Outcome.Revision)
+	_, err = fmt.Fprintf(c.Root().Writer, "ticket %d is in force at revision %d\n", t.Number, reply.Outcome.Revision)
 	return err
 }
 
