--- /dev/null
+++ b/internal/control/replica/barrier.go
@@ -0,0 +1,86 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"bronzerill"
+)
+
+// maxBarriers bounds the reads that wait for a quorum.
+const maxBarriers = 1024
+
+// barrier is a read that waits until a quorum has confirmed the lead after the
+// read arrived. A timed lease wouldn't do: an instance that was suspended still
+// counts its own lease as valid.
+type barrier struct {
+	// at is the leader's clock at the arrival.
+	at time.Duration
+	// index must be applied before the read.
+	index uint64
+	term  uint64
+	reply chan error
+}
+
+// Barrier returns once this replica has proved that it led the group after the
+// call began, and has applied everything that was committed then.
+func (n *Node) Barrier(ctx context.Context) error {
+	reply := make(chan error, 1)
+	select {
+	case n.barriers <- reply:
+	case <-ctx.Done():
+		return bronzerill.Errorf(bronzerill.KindTableFull, "barrier queue")
+	}
+	select {
+	case err := <-reply:
+		return err
+	case <-ctx.Done():
+		return bronzerill.Errorf(bronzerill.KindNoQuorum, "no quorum answered in time")
+	}
+}
+
+// StartRead returns the index that must be applied and the clock that a quorum
+// must have answered before a read that arrives now. ok is false at a replica
+// that doesn't lead.
+func (c *Core) StartRead(now time.Time) (index uint64, at time.Duration, ok bool) {
+	if c.role != leader || c.hard.Commit < c.noopAt {
+		return 0, 0, false
+	}
+	// The next tick asks the quorum.
+	c.beatAt = now
+	return c.hard.Commit, c.sinceEpoch(now), true
+}
+
+// IsReadConfirmed reports whether a quorum has answered a message that was sent
+// after the given clock, in the given term.
+func (c *Core) IsReadConfirmed(now time.Time, at time.Duration, term uint64) bool {
+	return c.role == leader && c.hard.Term == term && c.quorumAck(now) > at
+}
+
+func (n *Node) startBarrier(now time.Time, reply chan error) {
+	index, at, ok := n.core.StartRead(now)
+	switch {
+	case !ok:
+		reply <- bronzerill.Errorf(bronzerill.KindNotLeader, "%s", n.core.Leader())
+	case len(n.waiting) >= maxBarriers:
+		reply <- bronzerill.Errorf(bronzerill.KindTableFull, "%d reads wait for a quorum", maxBarriers)
+	default:
+		n.waiting = append(n.waiting, barrier{at: at, index: index, term: n.core.Term(), reply: reply})
+	}
+}
+
+// finishBarriers answers the reads that are confirmed, or can't be any more.
+func (n *Node) finishBarriers(now time.Time) {
+	kept := n.waiting[:0]
+	for _, b := range n.waiting {
+		switch {
+		case !n.core.IsLeader() || n.core.Term() != b.term:
+			b.reply <- bronzerill.Errorf(bronzerill.KindNotLeader, "the lead was lost")
+		case n.core.Applied() >= b.index && n.core.IsReadConfirmed(now, b.at, b.term):
+			b.reply <- nil
+		default:
+			kept = append(kept, b)
+		}
+	}
+	n.waiting = kept
+}
--- a/internal/control/replica/core.go
+++ b/internal/control/replica/core.go
@@ -42,6 +42,8 @@
 	// ackedSend is the leader's clock at the sending of the newest message
 	// that the member has answered.
 	ackedSend time.Duration
+	// since is the leader's clock when it began to follow the member.
+	since time.Duration
 	// snapshotSent is when a snapshot was last sent; it paces resends.
 	snapshotSent time.Time
 	// paused holds back further entries until the next reply or heartbeat.
@@ -60,6 +62,9 @@
 	Members  Members
 	Snapshot *Snapshot
 	Entries  []Entry
+	// SelfRepair lets the leader promote learners and replace lost voters
+	// without an operator.
+	SelfRepair bool
 }
 
 // Core is the state machine of one replica. It does no input or output: Tick,
@@ -98,6 +103,7 @@
 	heard map[string]string
 	// transferTo is the member that takes over the lead during a shutdown.
 	transferTo string
+	selfRepair bool
 }
 
 // NewCore returns a follower that starts from its saved state.
@@ -112,6 +118,8 @@
 		members:  cfg.Members,
 		snapshot: cfg.Snapshot,
 		heard:    map[string]string{cfg.Name: cfg.Identity},
+
+		selfRepair: cfg.SelfRepair,
 	}
 	if cfg.Snapshot != nil {
 		c.log.reset(cfg.Snapshot.Index, cfg.Snapshot.Term)
@@ -123,7 +131,7 @@
 	c.log.entries = cfg.Entries
 	c.saved = c.log.last()
 	c.hard.Commit = max(c.hard.Commit, c.applied)
-	c.reloadMembers()
+	c.reloadMembers(cfg.Now)
 	// A restarted replica may have promised its silence to a leader.
 	c.heardAt = cfg.Now
 	c.resetElection(cfg.Now)
@@ -178,10 +186,10 @@
 	return acks[len(acks)-c.members.Quorum()]
 }
 
-func (c *Core) trackPeers() {
+func (c *Core) trackPeers(now time.Time) {
 	for _, m := range c.members.List {
 		if m.Name != c.name && c.peers[m.Name] == nil {
-			c.peers[m.Name] = &progress{next: c.log.last() + 1}
+			c.peers[m.Name] = &progress{next: c.log.last() + 1, since: c.sinceEpoch(now)}
 		}
 	}
 	for name := range c.peers {
@@ -228,7 +236,7 @@
 	}
 	c.membersAt = c.appendOwn(EntryMembers, data)
 	c.members = next
-	c.trackPeers()
+	c.trackPeers(now)
 	c.broadcast(now)
 	return nil
 }
@@ -261,7 +269,7 @@
 }
 
 // reloadMembers finds the newest list after the log changed under it.
-func (c *Core) reloadMembers() {
+func (c *Core) reloadMembers(now time.Time) {
 	c.members = c.baseMembers
 	c.membersAt = c.log.base
 	for _, e := range c.log.entries {
@@ -274,6 +282,6 @@
 		}
 	}
 	if c.role == leader {
-		c.trackPeers()
+		c.trackPeers(now)
 	}
 }
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -96,7 +96,7 @@
 	c.transferTo = ""
 	c.beatAt = now
 	c.peers = make(map[string]*progress)
-	c.trackPeers()
+	c.trackPeers(now)
 	c.noopAt = c.log.last() + 1
 	c.appendOwn(EntryNone, nil)
 	// The election itself is an answer of the quorum, but none that says when
--- a/internal/control/replica/members.go
+++ b/internal/control/replica/members.go
@@ -21,6 +21,9 @@
 	Voter bool `json:"voter" msgpack:"v"`
 	// Replaces names the member that leaves once this one has caught up.
 	Replaces string `json:"replaces,omitempty" msgpack:"r,omitempty"`
+	// Spare marks a member that joined after the group was founded. It may
+	// stand in for one voter that is lost for good.
+	Spare bool `json:"spare,omitempty" msgpack:"s,omitempty"`
 }
 
 // Members is an immutable list of replicas. Two successive lists differ by one
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -17,6 +17,10 @@
 	tickInterval = 20 * time.Millisecond
 	// defaultSnapshotEvery is the number of applied entries between snapshots.
 	defaultSnapshotEvery = 8192
+	// defaultSnapshotBytes is the size of applied commands between snapshots: a
+	// sixteenth of the smallest disk, since log, old and new snapshot stand on
+	// it at the same time.
+	defaultSnapshotBytes = 4 << 20
 	inputQueue           = 1024
 )
 
@@ -51,6 +55,12 @@
 	// SnapshotEvery is the number of applied entries between snapshots; 0 takes
 	// the default.
 	SnapshotEvery uint64
+	// SnapshotBytes is the size of applied commands between snapshots; 0 takes
+	// the default.
+	SnapshotBytes int
+	// SelfRepair lets the leader promote learners and replace lost voters
+	// without an operator.
+	SelfRepair bool
 }
 
 type proposal struct {
@@ -89,10 +99,14 @@
 	messages  chan Message
 	proposals chan proposal
 	transfer  chan struct{}
+	barriers  chan chan error
+	waiting   []barrier
 	waiters   map[uint64]waiter
 	// snapshotAt is the applied index of the last snapshot, finished or under
 	// way.
 	snapshotAt uint64
+	// appliedBytes is the size of the commands applied since then.
+	appliedBytes int
 	// snapshots has room for the one result that may be under way, so that its
 	// writer never waits for a loop that has ended.
 	snapshots    chan snapshotResult
@@ -110,6 +124,9 @@
 	if cfg.SnapshotEvery == 0 {
 		cfg.SnapshotEvery = defaultSnapshotEvery
 	}
+	if cfg.SnapshotBytes == 0 {
+		cfg.SnapshotBytes = defaultSnapshotBytes
+	}
 	saved, err := cfg.Store.Load()
 	if err != nil {
 		return nil, err
@@ -128,6 +145,8 @@
 		Members:  saved.Identity.Members,
 		Snapshot: saved.Snapshot,
 		Entries:  saved.Entries,
+
+		SelfRepair: cfg.SelfRepair,
 	})
 	n := &Node{
 		cfg:        cfg,
@@ -136,6 +155,7 @@
 		messages:   make(chan Message, inputQueue),
 		proposals:  make(chan proposal, inputQueue),
 		transfer:   make(chan struct{}, 1),
+		barriers:   make(chan chan error, maxBarriers),
 		waiters:    make(map[uint64]waiter),
 		snapshotAt: core.Applied(),
 		addrs:      make(map[string]string),
@@ -226,6 +246,8 @@
 			n.locked(func(now time.Time) { n.drainMessages(now, m) })
 		case p := <-n.proposals:
 			n.locked(func(now time.Time) { n.drainProposals(now, p) })
+		case reply := <-n.barriers:
+			n.locked(func(now time.Time) { n.startBarrier(now, reply) })
 		case r := <-n.snapshots:
 			if err := n.finishSnapshot(r); err != nil {
 				return n.fail(err)
@@ -236,6 +258,9 @@
 		if err := n.work(); err != nil {
 			return n.fail(err)
 		}
+		if len(n.waiting) > 0 {
+			n.locked(n.finishBarriers)
+		}
 	}
 }
 
@@ -340,6 +365,7 @@
 
 func (n *Node) apply(e Entry) {
 	var value any
+	n.appliedBytes += len(e.Data)
 	if e.Type == EntryCommand {
 		value = n.cfg.Machine.Apply(e.Index, e.Data)
 	}
--- a/internal/control/replica/repair.go
+++ b/internal/control/replica/repair.go
@@ -12,6 +12,9 @@
 	if !ok {
 		next, ok = c.withRepair()
 	}
+	if !ok && c.selfRepair {
+		next, ok = c.withSelfRepair(now)
+	}
 	if ok {
 		// An error means that a step is under way; the next heartbeat tries again.
 		_ = c.ProposeMembers(now, next)
--- /dev/null
+++ b/internal/control/replica/selfrepair.go
@@ -0,0 +1,104 @@
+package replica
+
+import "time"
+
+// Bounds of a group that repairs itself.
+const (
+	// lostAfter is the silence after which a spare member takes a voter's
+	// place. A restart takes less; a successor has to be in within 4 s.
+	lostAfter = 2500 * time.Millisecond
+	// maxVoters is the size above which further members stay learners.
+	maxVoters = 7
+)
+
+// withSelfRepair moves a group that repairs itself on by one step: a learner
+// that has caught up becomes a voter, and a voter that is silent for long leaves
+// once a spare member has come for it.
+func (c *Core) withSelfRepair(now time.Time) (Members, bool) {
+	for _, m := range c.members.List {
+		if m.Voter || m.Replaces != "" || c.heard[m.Name] == "" || !c.caughtUp(m.Name) || c.isSilent(now, m.Name) {
+			continue
+		}
+		if lost := c.lostVoter(now); lost != "" && m.Spare {
+			m.Replaces = lost
+			m.Spare = false
+			return c.members.With(m), true
+		}
+		if c.members.Voters() < maxVoters {
+			m.Voter = true
+			m.Folder = c.heard[m.Name]
+			return c.members.With(m), true
+		}
+	}
+	return c.withoutLost(now)
+}
+
+// withoutLost lets a spare voter take the place of one that is lost.
+func (c *Core) withoutLost(now time.Time) (Members, bool) {
+	lost := c.lostVoter(now)
+	if lost == "" {
+		return c.withoutLearner(now)
+	}
+	for _, m := range c.members.List {
+		if m.Voter && m.Spare && m.Name != lost && !c.isSilent(now, m.Name) {
+			m.Spare = false
+			m.Replaces = lost
+			return c.members.With(m), true
+		}
+	}
+	return Members{}, false
+}
+
+// withoutLearner drops a learner that never came back.
+func (c *Core) withoutLearner(now time.Time) (Members, bool) {
+	for _, m := range c.members.List {
+		if !m.Voter && c.isSilent(now, m.Name) {
+			return c.members.Without(m.Name), true
+		}
+	}
+	return Members{}, false
+}
+
+// lostVoter returns the voter that has been silent longest, if any is lost.
+func (c *Core) lostVoter(now time.Time) string {
+	lost := ""
+	for _, m := range c.members.List {
+		if !m.Voter || !c.isSilent(now, m.Name) {
+			continue
+		}
+		if lost == "" || c.peers[m.Name].ackedSend < c.peers[lost].ackedSend {
+			lost = m.Name
+		}
+	}
+	return lost
+}
+
+func (c *Core) isSilent(now time.Time, name string) bool {
+	p := c.peers[name]
+	return p != nil && c.sinceEpoch(now)-max(p.ackedSend, p.since) > lostAfter
+}
+
+// Joined returns the list with a replica that asks to join. A member at the same
+// address under another name has lost its disk, and is replaced.
+func (m Members) Joined(name, addr string, spare bool) (next Members, changed bool) {
+	if known, ok := m.Get(name); ok {
+		if known.Addr == addr {
+			return m, false
+		}
+		known.Addr = addr
+		return m.With(known), true
+	}
+	joined := Member{Name: name, Addr: addr, Spare: spare}
+	for _, other := range m.List {
+		if other.Addr != addr {
+			continue
+		}
+		if !other.Voter {
+			m = m.Without(other.Name)
+			continue
+		}
+		joined.Replaces = other.Name
+		joined.Spare = other.Spare
+	}
+	return m.With(joined), true
+}
--- a/internal/control/replica/snapshot.go
+++ b/internal/control/replica/snapshot.go
@@ -82,9 +82,11 @@
 // doesn't hold up heartbeats.
 func (n *Node) startSnapshot() {
 	applied := n.core.Applied()
-	if n.snapshotting || applied < n.snapshotAt+n.cfg.SnapshotEvery {
+	due := applied >= n.snapshotAt+n.cfg.SnapshotEvery || n.appliedBytes >= n.cfg.SnapshotBytes
+	if n.snapshotting || !due {
 		return
 	}
+	n.appliedBytes = 0
 	n.snapshotting = true
 	n.snapshotAt = applied
 	n.mu.Lock()
--- a/internal/control/replica/step.go
+++ b/internal/control/replica/step.go
@@ -116,7 +116,7 @@
 	}
 	if first := c.log.append(m.Entries); first > 0 {
 		c.saved = min(c.saved, first-1)
-		c.reloadMembers()
+		c.reloadMembers(now)
 	}
 	reply.Index = m.Index + uint64(len(m.Entries))
 	c.commitTo(min(m.Commit, reply.Index))
@@ -145,7 +145,7 @@
 		c.baseMembers = s.Members
 		c.snapshot = s
 		c.install = s
-		c.reloadMembers()
+		c.reloadMembers(now)
 	}
 	c.send(Message{Type: MessageAppendReply, To: m.From, Term: c.hard.Term, Index: c.hard.Commit, SentAt: m.SentAt})
 }
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -27,6 +27,8 @@
 	ClearSuspect *ClearSuspect  `msgpack:"pa,omitempty"`
 	Promise      *Promise       `msgpack:"pr,omitempty"`
 	Expire       *Expire        `msgpack:"ex,omitempty"`
+	Declare      *Declare       `msgpack:"dc,omitempty"`
+	SetZone      *SetZone       `msgpack:"sz,omitempty"`
 }
 
 // Encode returns the log form of the command.
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"bronzerill"
+	"bronzerill/internal/router/declared"
 )
 
 // maxTickets bounds the outcomes that are kept for resent tickets.
@@ -29,6 +30,7 @@
 	// generations holds the newest process of each agent; it never falls.
 	generations map[string]uint64
 	promises    map[string]Promise
+	declared    declared.State
 }
 
 // image is the snapshot form of the machine.
@@ -39,6 +41,7 @@
 	OldestTicket uint64
 	Generations  map[string]uint64
 	Promises     map[string]Promise
+	Declared     declared.State
 }
 
 // NewMachine returns an empty machine.
@@ -172,6 +175,10 @@
 	case c.Expire != nil:
 		m.runExpire(c.At)
 		return Result{}
+	case c.Declare != nil:
+		return m.runDeclare(index, *c.Declare)
+	case c.SetZone != nil:
+		return m.runSetZone(index, *c.SetZone)
 	}
 	return Result{Kind: bronzerill.KindInternal, Detail: "empty command"}
 }
@@ -297,6 +304,7 @@
 		OldestTicket: m.oldestTicket,
 		Generations:  maps.Clone(m.generations),
 		Promises:     maps.Clone(m.promises),
+		Declared:     m.declared,
 	}
 	return func() ([]byte, error) {
 		i.Config = config.DeltaSince(0)
@@ -331,6 +339,7 @@
 	m.oldestTicket = i.OldestTicket
 	m.generations = orEmpty(i.Generations)
 	m.promises = orEmpty(i.Promises)
+	m.declared = i.Declared
 	return nil
 }
 
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -12,11 +12,20 @@
 
 	"bronzerill/internal/control/replica"
 	"bronzerill/internal/run/process"
+	"bronzerill/internal/run/router"
 	"bronzerill/internal/settings/file"
+	"bronzerill/platform"
 )
 
+// SettingsVariable is the environment variable that may hold the path of the
+// settings file.
+const SettingsVariable = "BRONZERILL_SETTINGS"
+
 func settingsFlag() cli.Flag {
-	return &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "settings `FILE` of the process", Required: true}
+	return &cli.StringFlag{
+		Name: "settings", Aliases: []string{"s"}, Usage: "settings `FILE` of the process",
+		Required: true, Sources: cli.EnvVars(SettingsVariable),
+	}
 }
 
 func loadSettings(c *cli.Command) (file.Settings, error) {
@@ -37,6 +46,9 @@
 			if err != nil {
 				return err
 			}
+			if s.Router != nil {
+				return router.Run(ctx, s, c.String("settings"), platform.Adapter{})
+			}
 			return process.Run(ctx, s, newLog(s))
 		},
 	}
--- /dev/null
+++ b/internal/router/caller/handler.go
@@ -0,0 +1,202 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"bronzerill"
+	"bronzerill/internal/operator/metrics"
+	"bronzerill/internal/router/declared"
+	"bronzerill/internal/router/placing"
+	"bronzerill/internal/router/server"
+)
+
+// maxBody bounds a request's body, in bytes.
+const maxBody = 8 << 20
+
+// Config configures a Handler.
+type Config struct {
+	Dialect Dialect
+	Servers *placing.Table
+	Client  *server.Client
+	// Routes returns the present desired state, nil before there is one.
+	Routes func() *declared.Table
+	// Clock returns the present time.
+	Clock func() time.Time
+	Log   hclog.Logger
+}
+
+// Handler answers callers.
+type Handler struct {
+	cfg      Config
+	inFlight atomic.Int64
+}
+
+var _ http.Handler = (*Handler)(nil)
+
+// NewHandler returns a handler.
+func NewHandler(cfg Config) *Handler { return &Handler{cfg: cfg} }
+
+// InFlight returns the number of requests under way.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	metrics.Count(metrics.EventRequest)
+	x := &exchange{
+		Handler: h,
+		w:       w,
+		r:       r,
+		request: h.cfg.Dialect.Request(r.Header),
+		start:   h.cfg.Clock(),
+	}
+	if kind := x.admit(); kind != bronzerill.KindNone {
+		x.refuse(kind, 0)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.run(ctx)
+}
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	*Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	request Request
+	body    []byte
+	start   time.Time
+	// deadline is when the caller or the operator no longer waits.
+	deadline time.Time
+	table    *declared.Table
+	route    *declared.Route
+	customer *declared.Customer
+	service  declared.Service
+	// tried lists the servers that were asked.
+	tried []string
+	// runs counts the servers that may have run the request.
+	runs int
+	// choice is the server that was asked last.
+	choice placing.Choice
+	// written is set once the answer's head is on its way to the caller.
+	written bool
+	// last is the last event that went to the caller whole.
+	last string
+}
+
+// admit finds route and customer, and reads the body.
+func (x *exchange) admit() bronzerill.Kind {
+	x.table = x.cfg.Routes()
+	if x.table == nil {
+		return bronzerill.KindNoState
+	}
+	var found bool
+	if x.route, found = x.table.Route(x.r.Host, x.r.URL.Path); !found {
+		return bronzerill.KindUnknownRoute
+	}
+	if x.table.Keyed && !x.route.Public {
+		if x.customer, found = x.table.Customer(x.request.Key); !found {
+			return bronzerill.KindUnauthorized
+		}
+	}
+	if kind := x.readBody(); kind != bronzerill.KindNone {
+		return kind
+	}
+	x.service, found = x.table.Service(x.route.Target(xxhash.Sum64String(x.request.ID)))
+	if !found {
+		return bronzerill.KindUnknownRoute
+	}
+	x.deadline = x.start.Add(x.route.Timeout)
+	if x.request.Patience > 0 {
+		x.deadline = earlier(x.deadline, x.start.Add(x.request.Patience))
+	}
+	x.last = x.request.ResumeAfter
+	x.cfg.Servers.Earn(x.service.Name)
+	return bronzerill.KindNone
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (x *exchange) readBody() bronzerill.Kind {
+	var err error
+	x.body, err = io.ReadAll(io.LimitReader(x.r.Body, maxBody+1))
+	switch {
+	case err != nil:
+		return bronzerill.KindCanceled
+	case len(x.body) > maxBody:
+		return bronzerill.KindBodyTooLarge
+	}
+	return bronzerill.KindNone
+}
+
+// priority returns the customer's priority, or else the route's.
+func (x *exchange) priority() int {
+	if x.customer != nil && x.customer.Priority != nil {
+		return *x.customer.Priority
+	}
+	return x.route.Priority
+}
+
+// refuse ends the request without a server's answer.
+func (x *exchange) refuse(kind bronzerill.Kind, retryAfter time.Duration) {
+	if kind.Answer().Run == bronzerill.RunNot {
+		metrics.Refused(kind)
+	} else {
+		metrics.Failed(kind)
+	}
+	x.logEnd(kind, 0)
+	if kind == bronzerill.KindCanceled {
+		// Nobody waits for the answer.
+		panic(http.ErrAbortHandler)
+	}
+	x.cfg.Dialect.Refusal(x.w, kind, retryAfter)
+}
+
+// breakOff ends the caller's connection, so that an answer that was begun can't
+// look whole.
+func (x *exchange) breakOff(kind bronzerill.Kind) {
+	metrics.Failed(kind)
+	x.logEnd(kind, 0)
+	panic(http.ErrAbortHandler)
+}
+
+// logEnd writes how the request ended, and on what that rested.
+func (x *exchange) logEnd(kind bronzerill.Kind, status int) {
+	now := x.cfg.Clock()
+	fields := []any{
+		"request", x.request.ID, "outcome", kind.String(), "run", kind.Answer().Run.String(),
+		"ms", now.Sub(x.start).Milliseconds(), "status", status,
+	}
+	if x.table != nil {
+		fields = append(fields, "state", x.table.Number)
+	}
+	if x.route != nil {
+		fields = append(fields, "route", x.route.Name, "kind", x.route.Kind.String(), "service", x.service.Name)
+	}
+	if x.customer != nil {
+		fields = append(fields, "customer", x.customer.Name)
+	}
+	if x.choice.ID != "" {
+		fields = append(fields, "server", x.choice.ID, "load", x.choice.Load, "mean", x.choice.Mean,
+			"rank", x.choice.Rank, "list-age-ms", x.choice.ListAge.Milliseconds(), "tried", len(x.tried))
+	}
+	if kind == bronzerill.KindNone {
+		x.cfg.Log.Info("answered", fields...)
+	} else {
+		x.cfg.Log.Warn("not answered", fields...)
+	}
+}
--- /dev/null
+++ b/internal/router/neighbour/table.go
@@ -0,0 +1,247 @@
+package neighbour
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Parameters of the table of routers.
+const (
+	// aliveFor is the silence after which a router isn't asked for anything.
+	aliveFor = 2 * time.Second
+	// knownFor is how long a silent router still counts as one that may be at
+	// work elsewhere: longer than a cut or a restart lasts.
+	knownFor = 45 * time.Second
+	// maxOthers bounds the routers that a digest names.
+	maxOthers = 6
+	// fanout is the number of routers that get one round of digests. It keeps
+	// the traffic of a router the same at any size of the fleet.
+	fanout = 10
+)
+
+// known is a row of the table.
+type known struct {
+	Peer
+	// heardAt is when a digest came from the router itself, zero before.
+	heardAt time.Time
+	// namedAt is when it was last heard of at all.
+	namedAt  time.Time
+	sequence uint64
+	revision uint64
+	leader   string
+	term     uint64
+	listAt   time.Time
+	listSum  uint64
+}
+
+// Table holds the routers that this one knows.
+type Table struct {
+	mu     sync.Mutex
+	self   Peer
+	random *rand.Rand
+	seeds  []string
+	peers  map[string]*known
+}
+
+// NewTable returns a table that knows the addresses of some routers.
+func NewTable(self Peer, seeds []string, seed uint64) *Table {
+	return &Table{self: self, seeds: seeds, random: rand.New(rand.NewPCG(seed, 3)), peers: make(map[string]*known)}
+}
+
+// SetSeeds replaces the addresses that are asked when few routers are known.
+func (t *Table) SetSeeds(seeds []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seeds = seeds
+}
+
+// Seeds returns those addresses.
+func (t *Table) Seeds() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.seeds)
+}
+
+// Receive takes a digest. It returns false for an old or own one.
+func (t *Table) Receive(now time.Time, d Digest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d.From.Name == t.self.Name || d.From.Name == "" {
+		return false
+	}
+	p := t.know(now, d.From)
+	if d.From.Started < p.Started || d.From.Started == p.Started && d.Sequence <= p.sequence {
+		return false
+	}
+	p.Peer = d.From
+	p.sequence = d.Sequence
+	p.heardAt = now
+	p.revision = d.Revision
+	p.leader = d.Leader
+	p.term = d.Term
+	p.listSum = d.ListSum
+	p.listAt = time.Time{}
+	if d.ListAge >= 0 {
+		p.listAt = now.Add(-d.ListAge)
+	}
+	for _, other := range d.Others {
+		if other.Name != t.self.Name {
+			t.know(now, other)
+		}
+	}
+	return true
+}
+
+// know adds a router, or takes its newer process.
+func (t *Table) know(now time.Time, p Peer) *known {
+	k, ok := t.peers[p.Name]
+	if !ok {
+		k = &known{Peer: p}
+		t.peers[p.Name] = k
+	}
+	k.namedAt = now
+	if p.Started > k.Started {
+		k.Addr = p.Addr
+	}
+	return k
+}
+
+// Expire forgets routers that have been silent for long.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, p := range t.peers {
+		if now.Sub(p.heardAt) > knownFor && now.Sub(p.namedAt) > knownFor {
+			delete(t.peers, name)
+		}
+	}
+}
+
+// Names returns the names of all routers that may be at work, in order.
+func (t *Table) Names() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := []string{t.self.Name}
+	for name := range t.peers {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Rank returns the number of routers alive whose name comes before this one's.
+func (t *Table) Rank(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rank := 0
+	for name, p := range t.peers {
+		if name < t.self.Name && now.Sub(p.heardAt) < aliveFor {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Targets returns the addresses that get the next round of digests.
+func (t *Table) Targets(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var targets []string
+	alive := 0
+	for _, p := range t.peers {
+		targets = append(targets, p.Addr)
+		if now.Sub(p.heardAt) < aliveFor {
+			alive++
+		}
+	}
+	t.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	targets = targets[:min(fanout, len(targets))]
+	for _, seed := range t.seeds {
+		// Seeds are asked while little is known, and now and then after a cut.
+		if seed != t.self.Addr && !slices.Contains(targets, seed) && (alive < 3 || t.random.IntN(16) == 0) {
+			targets = append(targets, seed)
+		}
+	}
+	return targets
+}
+
+// Others returns a few routers for a digest.
+func (t *Table) Others(now time.Time) []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var others []Peer
+	for _, p := range t.peers {
+		if now.Sub(p.heardAt) < aliveFor {
+			others = append(others, p.Peer)
+		}
+	}
+	t.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(maxOthers, len(others))]
+}
+
+// Newer returns the addresses of routers alive with a higher revision of the
+// declared state, the highest first.
+func (t *Table) Newer(now time.Time, revision uint64) []string {
+	return t.best(now, func(p *known) bool { return p.revision > revision },
+		func(a, b *known) bool { return a.revision > b.revision })
+}
+
+// FresherList returns the addresses of routers alive whose list was read after
+// the given time by more than margin, the freshest first, and its checksum.
+func (t *Table) FresherList(now, readAt time.Time, margin time.Duration) (addr string, at time.Time, sum uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at = readAt.Add(margin)
+	for _, p := range t.peers {
+		if now.Sub(p.heardAt) < aliveFor && p.listAt.After(at) {
+			addr, at, sum = p.Addr, p.listAt, p.listSum
+		}
+	}
+	return addr, at, sum
+}
+
+func (t *Table) best(now time.Time, match func(*known) bool, less func(a, b *known) bool) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*known
+	for _, p := range t.peers {
+		if now.Sub(p.heardAt) < aliveFor && match(p) {
+			list = append(list, p)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return less(list[i], list[j]) })
+	addrs := make([]string, len(list))
+	for i, p := range list {
+		addrs[i] = p.Addr
+	}
+	return addrs
+}
+
+// Leader returns the address of the leader of the newest term that a router
+// alive has named.
+func (t *Table) Leader(now time.Time) (addr string, term uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if now.Sub(p.heardAt) < aliveFor && p.leader != "" && p.term > term {
+			addr, term = p.leader, p.term
+		}
+	}
+	return addr, term
+}
+
+// Alive returns the number of routers heard lately.
+func (t *Table) Alive(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	alive := 0
+	for _, p := range t.peers {
+		if now.Sub(p.heardAt) < aliveFor {
+			alive++
+		}
+	}
+	return alive
+}
--- /dev/null
+++ b/internal/run/router/operator.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"bronzerill"
+	"bronzerill/internal/control/state"
+	"bronzerill/internal/router/declared"
+	"bronzerill/internal/router/neighbour"
+	"bronzerill/platform"
+)
+
+var _ platform.Control = (*group)(nil)
+
+// Declare checks a whole desired state and replicates it.
+func (g *group) Declare(ctx context.Context, source []byte) error {
+	document, err := g.router.adapter.Document(source)
+	if err != nil {
+		return g.invalid(err.Error())
+	}
+	if faults := document.Faults(); len(faults) > 0 {
+		return g.invalid(strings.Join(faults, "; "))
+	}
+	err = g.propose(ctx, state.Command{At: time.Now(), Declare: &state.Declare{Number: document.Number, Source: source}})
+	g.router.log.Info("desired state submitted", "number", document.Number, "bytes", len(source), "outcome", bronzerill.KindOf(err).String())
+	return err
+}
+
+func (g *group) invalid(detail string) error {
+	g.router.log.Info("desired state refused", "detail", detail)
+	return bronzerill.Errorf(bronzerill.KindTicketInvalid, "%s", detail)
+}
+
+// SetZone takes a zone out or back.
+func (g *group) SetZone(ctx context.Context, zone string, out bool) error {
+	err := g.propose(ctx, state.Command{At: time.Now(), SetZone: &state.SetZone{Zone: zone, Out: out}})
+	g.router.log.Info("zone set", "zone", zone, "out", out, "outcome", bronzerill.KindOf(err).String())
+	return err
+}
+
+func (g *group) propose(ctx context.Context, command state.Command) error {
+	data, err := command.Encode()
+	if err != nil {
+		return bronzerill.Errorf(bronzerill.KindInternal, "encode command: %v", err)
+	}
+	return g.atLeader(ctx, func() error {
+		_, err := g.Propose(ctx, data)
+		return err
+	}, func(addr string) error {
+		var reply neighbour.ProposeReply
+		if err := g.router.clients.Call(ctx, addr, "Propose", &neighbour.ProposeRequest{Command: data}, &reply); err != nil {
+			return bronzerill.Errorf(bronzerill.KindNoQuorum, "%v", err)
+		}
+		return neighbour.Err(reply.Kind, reply.Detail)
+	})
+}
+
+// Newest returns the newest desired state, as a quorum knows it now.
+func (g *group) Newest(ctx context.Context) (newest declared.State, err error) {
+	err = g.atLeader(ctx, func() error {
+		var err error
+		newest, err = g.Read(ctx)
+		return err
+	}, func(addr string) error {
+		held := g.router.holder.State()
+		var reply neighbour.ReadReply
+		if err := g.router.clients.Call(ctx, addr, "Read", &neighbour.ReadRequest{Above: held.Revision}, &reply); err != nil {
+			return bronzerill.Errorf(bronzerill.KindNoQuorum, "%v", err)
+		}
+		newest = reply.State
+		if reply.Revision <= held.Revision {
+			newest = held
+		}
+		return neighbour.Err(reply.Kind, reply.Detail)
+	})
+	return newest, err
+}
--- /dev/null
+++ b/internal/run/router/web.go
@@ -0,0 +1,129 @@
+package router
+
+import (
+	"context"
+	"expvar"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Limits of the HTTP ports.
+const (
+	// headerTimeout bounds the wait for a request's headers; callers are given
+	// 3 s at most.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is above the time for which callers keep idle connections.
+	idleTimeout = 60 * time.Second
+	// maxHeader bounds a request's headers, in bytes.
+	maxHeader = 64 << 10
+)
+
+// Timing of a planned stop.
+const (
+	// balancerDelay is how long callers may still come after the router says
+	// that it isn't ready: the balancer asks each second and takes two misses.
+	balancerDelay = 2500 * time.Millisecond
+	// stopMargin is kept from the time after which the process is killed.
+	stopMargin = 400 * time.Millisecond
+	// stopTick is the pause between looks at the requests under way.
+	stopTick = 20 * time.Millisecond
+)
+
+func (r *Router) startWeb(ctx context.Context, tasks *errgroup.Group) error {
+	s := r.settings.Router
+	metrics := http.NewServeMux()
+	metrics.Handle("/debug/vars", expvar.Handler())
+	metrics.Handle("/metrics", expvar.Handler())
+	ports := []struct {
+		key, addr string
+		handler   http.Handler
+	}{
+		{"router.callers", s.Callers, r.handler},
+		{"router.readiness", s.Readiness, r.adapter.Readiness(r.Ready)},
+		{"router.operators", s.Operators, r.adapter.Operators(r.group)},
+		{"router.metrics", s.Metrics, metrics},
+	}
+	for _, port := range ports {
+		if port.addr == "" {
+			continue
+		}
+		if err := r.serve(ctx, tasks, port.key, port.addr, port.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Router) serve(ctx context.Context, tasks *errgroup.Group, key, addr string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, key)
+	}
+	web := &http.Server{
+		Handler:           r.closeWhenStopping(handler),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          log.New(errorWriter{r.log.Named(key)}, "", 0),
+	}
+	tasks.Go(func() error {
+		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, key)
+		}
+		return nil
+	})
+	tasks.Go(func() error {
+		<-ctx.Done()
+		return web.Close()
+	})
+	return nil
+}
+
+// errorWriter turns net/http's messages into log lines.
+type errorWriter struct{ log hclog.Logger }
+
+// Write logs one message.
+func (w errorWriter) Write(p []byte) (int, error) {
+	w.log.Debug("http", "message", string(p))
+	return len(p), nil
+}
+
+// closeWhenStopping asks peers to close their connection once the router stops.
+func (r *Router) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if r.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, request)
+	})
+}
+
+// drain stops the router: it is no longer ready, hands over the lead, serves
+// whoever still comes, and returns when nothing is under way.
+func (r *Router) drain(ctx context.Context) {
+	stopAt := time.Now()
+	r.stopping.Store(true)
+	r.log.Info("stopping", "in-flight", r.handler.InFlight())
+	if node := r.group.replica(); node != nil {
+		node.TransferLeadership()
+	}
+	last := stopAt.Add(r.settings.Router.StopTimeout.Duration - stopMargin)
+	for {
+		now := time.Now()
+		idle := r.handler.InFlight() == 0 && now.Sub(stopAt) >= balancerDelay
+		if idle || now.After(last) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(stopTick):
+		}
+	}
+}
--- a/internal/settings/file/settings.go
+++ b/internal/settings/file/settings.go
@@ -45,6 +45,7 @@
 	Replica  *Replica  `toml:"control"`
 	Entry    *Entry    `toml:"entry"`
 	Agent    *Agent    `toml:"agent"`
+	Router   *Router   `toml:"router"`
 }
 
 // Operator is the port for operators, metrics and health.
@@ -173,8 +174,9 @@
 func (s Settings) faults() []string {
 	c := &checker{}
 	c.want(s.Name != "" && !strings.ContainsAny(s.Name, "/ \t"), "name: want a name without slash or space")
-	c.want(s.SecretFile != "", "secret-file: missing")
-	c.want(s.Replica != nil || s.Entry != nil || s.Agent != nil, "no role: add a section control, entry or agent")
+	// Routers may run without a secret, where their network is their own.
+	c.want(s.SecretFile != "" || s.Router != nil, "secret-file: missing")
+	c.want(s.Replica != nil || s.Entry != nil || s.Agent != nil || s.Router != nil, "no role: add a section control, entry, agent or router")
 	if s.Entry != nil || s.Agent != nil {
 		c.want(len(s.Control) > 0, "control-replicas: missing, entries and agents need it")
 	}
@@ -194,6 +196,9 @@
 	if s.Operator != nil {
 		c.operator(*s.Operator)
 	}
+	if s.Router != nil {
+		c.router(*s.Router)
+	}
 	return c.faults
 }
 
--- a/kind.go
+++ b/kind.go
@@ -49,6 +49,10 @@
 	KindTableFull
 	KindCanceled
 	KindInternal
+	KindNoState
+	KindUnknownRoute
+	KindTimeout
+	KindExpired
 	kindCount
 )
 
@@ -137,6 +141,10 @@
 	KindTableFull:      {"table-full", http.StatusServiceUnavailable, RunNot, RetryLater},
 	KindCanceled:       {"canceled", 499, RunUnknown, RetryLater},
 	KindInternal:       {"internal", http.StatusInternalServerError, RunUnknown, RetryNever},
+	KindNoState:        {"no-state", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
+	KindUnknownRoute:   {"unknown-route", http.StatusNotFound, RunNot, RetryNever},
+	KindTimeout:        {"timeout", http.StatusGatewayTimeout, RunUnknown, RetryLater},
+	KindExpired:        {"expired", http.StatusServiceUnavailable, RunNot, RetryLater},
 }
 
 // String returns the kebab-case name of the kind.
