Stop closes the callers' port 2.5 s after SIGTERM; load bound of affinity nearer to the deployment's

Shared prompt parts read again were the largest price: the load bound (1.25 x mean + 2) moved subjects away from warm servers. Change: http.Server.Shutdown at balancerDelay; bound 1.8 x mean + 2.9.

--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -41,10 +41,12 @@
 	// kind is KindNone when the exchange is over.
 	kind bronzerill.Kind
 	run  bronzerill.Run
-	// resumable is set when a stream broke off at a known event.
+	// outcome is what the attempt says of the server.
 	outcome placing.Outcome
-	// status and reply are kept when a server's own failure is the best answer.
+	// failure is kept where a server's own failure is the best answer.
 	failure *failure
+	// detail is the error behind the kind, for the log.
+	detail string
 }
 
 // failure is a server's whole answer that reports a failure.
@@ -66,6 +68,7 @@
 		if a.kind == bronzerill.KindNone {
 			return
 		}
+		x.logAttempt(a)
 		if x.r.Context().Err() != nil {
 			x.left()
 			return
@@ -215,10 +218,10 @@
 		return attempt{kind: bronzerill.KindInternal, run: bronzerill.RunUnknown, outcome: placing.OutcomeFailed}
 	}
 	if failed.Run == bronzerill.RunNot {
-		return attempt{kind: bronzerill.KindUnreachable, run: bronzerill.RunNot, outcome: placing.OutcomeUnreachable}
+		return attempt{kind: bronzerill.KindUnreachable, run: bronzerill.RunNot, outcome: placing.OutcomeUnreachable, detail: err.Error()}
 	}
 	x.runs++
-	return attempt{kind: bronzerill.KindServerFailed, run: bronzerill.RunUnknown, outcome: placing.OutcomeFailed}
+	return attempt{kind: bronzerill.KindServerFailed, run: bronzerill.RunUnknown, outcome: placing.OutcomeFailed, detail: err.Error()}
 }
 
 func (x *exchange) call(now time.Time) server.Call {
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -174,11 +174,22 @@
 	panic(http.ErrAbortHandler)
 }
 
+// logAttempt writes why a server didn't answer.
+func (x *exchange) logAttempt(a attempt) {
+	status := 0
+	if a.failure != nil {
+		status = a.failure.status
+	}
+	x.cfg.Log.Info("attempt failed", "request", x.request.ID, "server", x.choice.ID, "attempt", len(x.tried),
+		"outcome", a.kind.String(), "run", a.run.String(), "status", status, "detail", a.detail,
+		"ms", x.cfg.Clock().Sub(x.start).Milliseconds())
+}
+
 // logEnd writes how the request ended, and on what that rested.
 func (x *exchange) logEnd(kind bronzerill.Kind, status int) {
 	now := x.cfg.Clock()
 	fields := []any{
-		"request", x.request.ID, "outcome", kind.String(), "run", kind.Answer().Run.String(),
+		"request", x.request.ID, "outcome", kind.String(), "run", kind.Answer().Run.String(), "path", x.r.URL.Path,
 		"ms", now.Sub(x.start).Milliseconds(), "status", status,
 	}
 	if x.table != nil {
--- a/internal/router/placing/table.go
+++ b/internal/router/placing/table.go
@@ -353,8 +353,8 @@
 // Parameters of the bound on a server's load relative to the mean. The
 // deployment's own bound is looser, by what digests are late.
 const (
-	loadMultiple = 1.25
-	loadSlack    = 2.0
+	loadMultiple = 1.8
+	loadSlack    = 2.9
 )
 
 // orderByAffinity sorts servers by rendezvous hash of the prompt, those above
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -52,6 +53,8 @@
 	holder   *holder
 	group    *group
 	list     *poller
+	// callers is the port for callers.
+	callers  *http.Server
 	stopping atomic.Bool
 	started  time.Time
 }
--- a/internal/run/router/web.go
+++ b/internal/run/router/web.go
@@ -28,11 +28,10 @@
 const (
 	// balancerDelay is how long callers may still come after the router says
 	// that it isn't ready: the balancer asks each second and takes two misses.
+	// Later ones couldn't be served whole before the process is killed.
 	balancerDelay = 2500 * time.Millisecond
 	// stopMargin is kept from the time after which the process is killed.
 	stopMargin = 400 * time.Millisecond
-	// stopTick is the pause between looks at the requests under way.
-	stopTick = 20 * time.Millisecond
 )
 
 func (r *Router) startWeb(ctx context.Context, tasks *errgroup.Group) error {
@@ -72,6 +71,9 @@
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          log.New(errorWriter{r.log.Named(key)}, "", 0),
 	}
+	if key == "router.callers" {
+		r.callers = web
+	}
 	tasks.Go(func() error {
 		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, key)
@@ -113,17 +115,15 @@
 	if node := r.group.replica(); node != nil {
 		node.TransferLeadership()
 	}
-	last := stopAt.Add(r.settings.Router.StopTimeout.Duration - stopMargin)
-	for {
-		now := time.Now()
-		idle := r.handler.InFlight() == 0 && now.Sub(stopAt) >= balancerDelay
-		if idle || now.After(last) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(stopTick):
-		}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(balancerDelay):
+	}
+	// Closes the port and idle connections, and waits for requests under way.
+	ctx, cancel := context.WithDeadline(ctx, stopAt.Add(r.settings.Router.StopTimeout.Duration-stopMargin))
+	defer cancel()
+	if err := r.callers.Shutdown(ctx); err != nil {
+		r.log.Warn("requests cut at the stop", "in-flight", r.handler.InFlight(), "error", err.Error())
 	}
 }
