Directory of warm prompts, told in digests

Change: placing.Homes remembers which servers keep a prompt; routers tell each other new homes; the hash decides only for prompts that nobody knows.

--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -203,7 +203,7 @@
 	}
 	if x.choice.ID != "" {
 		fields = append(fields, "server", x.choice.ID, "load", x.choice.Load, "mean", x.choice.Mean,
-			"rank", x.choice.Rank, "list-age-ms", x.choice.ListAge.Milliseconds(), "tried", len(x.tried))
+			"rank", x.choice.Rank, "affinity", x.request.Affinity(), "list-age-ms", x.choice.ListAge.Milliseconds(), "tried", len(x.tried))
 	}
 	if kind == bronzerill.KindNone {
 		x.cfg.Log.Info("answered", fields...)
--- a/internal/router/neighbour/message.go
+++ b/internal/router/neighbour/message.go
@@ -43,6 +43,15 @@
 	ListSum uint64
 	// Seen is what the sender has observed of servers.
 	Seen map[placing.ServerKey]Seen
+	// Homes are prompts that servers keep.
+	Homes []Home
+}
+
+// Home is the compact form of a placement.
+type Home struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Prompt   uint64
+	Server   placing.ServerKey
 }
 
 // Seen is the compact form of an observation.
@@ -77,6 +86,24 @@
 	return compact
 }
 
+// CompactHomes returns placements in the form of a digest.
+func CompactHomes(told []placing.Placement) []Home {
+	homes := make([]Home, len(told))
+	for i, p := range told {
+		homes[i] = Home{Prompt: p.Prompt, Server: p.Server}
+	}
+	return homes
+}
+
+// Placements returns a digest's homes.
+func (d Digest) Placements() []placing.Placement {
+	told := make([]placing.Placement, len(d.Homes))
+	for i, h := range d.Homes {
+		told[i] = placing.Placement{Prompt: h.Prompt, Server: h.Server}
+	}
+	return told
+}
+
 // Observations returns a digest's observations.
 func (d Digest) Observations() map[placing.ServerKey]placing.Observation {
 	seen := make(map[placing.ServerKey]placing.Observation, len(d.Seen))
--- /dev/null
+++ b/internal/router/placing/homes.go
@@ -0,0 +1,155 @@
+package placing
+
+import (
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// Bounds of the directory of prompts.
+const (
+	// maxPrompts bounds the prompts whose servers are remembered. One takes about
+	// 200 bytes.
+	maxPrompts = 16_384
+	// maxHomes bounds the servers that are remembered for one prompt.
+	maxHomes = 4
+	// homeLifetime is how long a prompt that nobody asks for is believed to stay
+	// in a server's memory.
+	homeLifetime = 60 * time.Second
+	// tellFor is how long a new home is told to neighbours: several rounds, since
+	// a round reaches only some of them and digests get lost.
+	tellFor = 1200 * time.Millisecond
+	// maxTold bounds the homes in one digest.
+	maxTold = 48
+	// refreshed is the number of older homes in each digest; they bring a router
+	// up to date that has just started.
+	refreshed = 12
+)
+
+// Placement says that a server keeps a prompt.
+type Placement struct {
+	Prompt uint64
+	Server ServerKey
+}
+
+// home is one server of a prompt.
+type home struct {
+	server ServerKey
+	usedAt time.Time
+}
+
+// Homes is the directory of prompts: which servers keep them, as far as this
+// router and its neighbours have placed them there. It answers for loads in
+// which servers come and go: a hash alone would move part of the prompts to each
+// new server, although they are warm elsewhere.
+type Homes struct {
+	prompts *lru.Cache[uint64, []home]
+	// news lists the homes that neighbours aren't sure to know, oldest first.
+	news []news
+	// next is where the refreshing of older homes goes on.
+	next int
+}
+
+type news struct {
+	Placement
+	at time.Time
+}
+
+// NewHomes returns an empty directory.
+func NewHomes() *Homes {
+	// The size is above 0, so no error is possible.
+	prompts, _ := lru.New[uint64, []home](maxPrompts)
+	return &Homes{prompts: prompts}
+}
+
+// Get returns the servers that are believed to keep a prompt.
+func (h *Homes) Get(now time.Time, prompt uint64) []ServerKey {
+	list, _ := h.prompts.Get(prompt)
+	var servers []ServerKey
+	for _, home := range list {
+		if now.Sub(home.usedAt) < homeLifetime {
+			servers = append(servers, home.server)
+		}
+	}
+	return servers
+}
+
+// Place notes that a prompt was sent to a server by this router.
+func (h *Homes) Place(now time.Time, p Placement) {
+	if h.note(now, p) {
+		h.news = append(h.news, news{p, now})
+		if len(h.news) > maxTold {
+			h.news = h.news[len(h.news)-maxTold:]
+		}
+	}
+}
+
+// Hear notes what a neighbour has told.
+func (h *Homes) Hear(now time.Time, told []Placement) {
+	for _, p := range told {
+		h.note(now, p)
+	}
+}
+
+// note returns true for a home that wasn't known.
+func (h *Homes) note(now time.Time, p Placement) bool {
+	list, _ := h.prompts.Get(p.Prompt)
+	oldest := 0
+	for i := range list {
+		if list[i].server == p.Server {
+			fresh := now.Sub(list[i].usedAt) < homeLifetime
+			list[i].usedAt = now
+			return !fresh
+		}
+		if list[i].usedAt.Before(list[oldest].usedAt) {
+			oldest = i
+		}
+	}
+	if len(list) >= maxHomes {
+		list[oldest] = home{p.Server, now}
+		return true
+	}
+	h.prompts.Add(p.Prompt, append(list, home{p.Server, now}))
+	return true
+}
+
+// Forget drops a server that has lost its memory.
+func (h *Homes) Forget(server ServerKey) {
+	for _, prompt := range h.prompts.Keys() {
+		list, _ := h.prompts.Peek(prompt)
+		kept := make([]home, 0, len(list))
+		for _, home := range list {
+			if home.server != server {
+				kept = append(kept, home)
+			}
+		}
+		if len(kept) < len(list) {
+			h.prompts.Add(prompt, kept)
+		}
+	}
+}
+
+// Tell returns the homes for the next digest: new ones, and a few older ones in
+// turn.
+func (h *Homes) Tell(now time.Time) []Placement {
+	for len(h.news) > 0 && now.Sub(h.news[0].at) > tellFor {
+		h.news = h.news[1:]
+	}
+	told := make([]Placement, 0, len(h.news)+refreshed)
+	for _, n := range h.news {
+		told = append(told, n.Placement)
+	}
+	prompts := h.prompts.Keys()
+	for range min(refreshed, len(prompts)) {
+		h.next = (h.next + 1) % len(prompts)
+		prompt := prompts[h.next]
+		list, _ := h.prompts.Peek(prompt)
+		for _, home := range list {
+			// Only what was used lately, so that stale homes die out.
+			if now.Sub(home.usedAt) < homeLifetime/4 {
+				told = append(told, Placement{prompt, home.server})
+			}
+		}
+	}
+	return told
+}
--- a/internal/router/placing/table.go
+++ b/internal/router/placing/table.go
@@ -82,6 +82,7 @@
 	// means holds the mean latency of each route, in seconds.
 	means map[string]float64
 	peers map[string]peerView
+	homes *Homes
 }
 
 type peerView struct {
@@ -102,6 +103,7 @@
 		budgets: make(map[string]*RetryBudget),
 		means:   make(map[string]float64),
 		peers:   make(map[string]peerView),
+		homes:   NewHomes(),
 		entries: []string{cfg.Entry},
 	}
 }
@@ -260,7 +262,7 @@
 	}
 	mean := meanLoad(able)
 	if q.Service.Engine {
-		t.orderByAffinity(able, q.Affinity, mean)
+		t.orderByAffinity(now, able, q.Affinity, mean)
 	} else {
 		t.orderByWait(able)
 	}
@@ -270,6 +272,9 @@
 		}
 		choice := Choice{Server: r.Server, Load: r.inFlight(), Mean: mean, Rank: rank, ListAge: now.Sub(t.listAt), Cold: r.isCold(now)}
 		r.own++
+		if q.Service.Engine && q.Affinity != 0 {
+			t.homes.Place(now, Placement{q.Affinity, r.key})
+		}
 		return choice, nil
 	}
 	return Choice{}, bronzerill.Errorf(bronzerill.KindCold, "every server of %s that takes work is cold", q.Service.Name)
@@ -357,20 +362,25 @@
 	loadSlack    = 2.9
 )
 
-// orderByAffinity sorts servers by rendezvous hash of the prompt, those above
-// the load bound last, by load.
-func (t *Table) orderByAffinity(able []*record, affinity uint64, mean float64) {
+// orderByAffinity sorts servers: first those that keep the prompt, the least
+// loaded before, then the others by rendezvous hash, so that all routers pick the
+// same one. Those above the load bound come last, by load.
+func (t *Table) orderByAffinity(now time.Time, able []*record, affinity uint64, mean float64) {
 	if affinity == 0 {
 		t.orderByWait(able)
 		return
 	}
 	bound := loadMultiple*mean + loadSlack
+	homes := t.homes.Get(now, affinity)
 	weight := make(map[*record]float64, len(able))
 	for _, r := range able {
 		load := float64(r.inFlight()+1) * r.paceRatio()
-		if load > bound {
+		switch {
+		case load > bound:
 			weight[r] = -load
-		} else {
+		case slices.Contains(homes, r.key):
+			weight[r] = 1 + 1/(1+load)
+		default:
 			weight[r] = rendezvous(affinity, r.ID)
 		}
 	}
@@ -479,10 +489,25 @@
 		pause := min(maxDown, firstDown<<min(r.refusals-1, 4))
 		r.downUntil = now.Add(pause)
 		r.proven = false
+		t.homes.Forget(r.key)
 	case OutcomeNone:
 	}
 }
 
+// Hear takes the homes of prompts that a neighbour tells.
+func (t *Table) Hear(now time.Time, told []Placement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.homes.Hear(now, told)
+}
+
+// Tell returns homes of prompts for neighbours.
+func (t *Table) Tell(now time.Time) []Placement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.homes.Tell(now)
+}
+
 // Proven marks a server that has answered: after a failure to connect its cold
 // start is counted from its first answer.
 func (t *Table) Proven(now time.Time, c Choice, coldStart time.Duration) {
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -197,11 +197,13 @@
 	d.Leader, d.Term = r.group.leader(now)
 	d.ListAge, d.ListSum = r.list.age(now)
 	d.Seen = neighbour.Compact(r.servers.Observations(now))
+	d.Homes = neighbour.CompactHomes(r.servers.Tell(now))
 }
 
 // received takes what a digest shows to be new.
 func (r *Router) received(now time.Time, d neighbour.Digest) {
 	r.servers.SetPeer(now, d.From.Name, d.Observations())
+	r.servers.Hear(now, d.Placements())
 	if d.Revision > r.holder.Revision() {
 		r.holder.fetchFrom(d.From.Addr)
 	}
