Loads told each 100 ms, spills among few choices, prompts fetched where they are kept

Change: digests of loads only, each 100 ms to 40 routers; bound drawn in by staleness and by the deployment's own; four choices a prompt, then by lot; a server that lacks a prompt fetches it from one that keeps it.

--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -231,6 +231,7 @@
 		Priority:    x.priority(),
 		HasPriority: x.service.Engine != nil,
 		ResumeAfter: x.last,
+		FetchFrom:   x.choice.KeptAt,
 	}
 	if x.customer != nil {
 		orders.Customer = x.customer.Name
--- a/internal/router/caller/message.go
+++ b/internal/router/caller/message.go
@@ -57,6 +57,8 @@
 	HasPriority bool
 	// ResumeAfter is the last event that the caller has.
 	ResumeAfter string
+	// FetchFrom is the address of a server whose memory holds the prompt.
+	FetchFrom string
 }
 
 // Reply is what a server says beside status and body.
--- a/internal/router/neighbour/gossip.go
+++ b/internal/router/neighbour/gossip.go
@@ -11,9 +11,14 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// interval is the pause between two rounds of digests: loads change within a
-// few hundred milliseconds.
-const interval = 200 * time.Millisecond
+// Timing of the digests.
+const (
+	// interval is the pause between two rounds: loads change within a few hundred
+	// milliseconds.
+	interval = 100 * time.Millisecond
+	// wholeEvery is the number of rounds from one whole digest to the next.
+	wholeEvery = 2
+)
 
 var (
 	digestBytesSent = expvar.NewInt("digest-bytes-written")
@@ -39,6 +44,8 @@
 	conn     *net.UDPConn
 	sequence uint64
 	prompt   chan struct{}
+	// whole asks for a whole digest in the next round.
+	whole bool
 }
 
 // NewGossip listens on the router's own address.
@@ -80,6 +87,7 @@
 				return nil
 			case <-ticker.C:
 			case <-g.prompt:
+				g.whole = true
 			}
 		}
 	})
@@ -89,14 +97,18 @@
 func (g *Gossip) round() {
 	now := g.cfg.Clock()
 	g.sequence++
-	d := Digest{From: g.cfg.Self, Sequence: g.sequence, Others: g.cfg.Table.Others(now)}
+	d := Digest{From: g.cfg.Self, Sequence: g.sequence, Whole: g.sequence%wholeEvery == 0 || g.whole}
+	g.whole = false
+	if d.Whole {
+		d.Others = g.cfg.Table.Others(now)
+	}
 	g.cfg.Fill(now, &d)
 	data, err := d.encode()
 	if err != nil || len(data) > maxDigest {
 		g.cfg.Log.Error("digest not sent", "bytes", len(data), "error", errText(err))
 		return
 	}
-	for _, target := range g.cfg.Table.Targets(now) {
+	for _, target := range g.cfg.Table.Targets(now, d.Whole) {
 		addr, err := net.ResolveUDPAddr("udp4", target)
 		if err != nil {
 			g.cfg.Log.Error("digest not sent", "to", target, "error", err.Error())
--- a/internal/router/neighbour/message.go
+++ b/internal/router/neighbour/message.go
@@ -41,6 +41,11 @@
 	ListAge time.Duration
 	// ListSum is the checksum of that list.
 	ListSum uint64
+	// Loads are the sender's requests under way, by server.
+	Loads map[placing.ServerKey]uint16
+	// Whole digests carry what follows; others only tell loads, which are of use
+	// only while they are fresh.
+	Whole bool
 	// Seen is what the sender has observed of servers.
 	Seen map[placing.ServerKey]Seen
 	// Homes are prompts that servers keep.
@@ -57,7 +62,6 @@
 // Seen is the compact form of an observation.
 type Seen struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	InFlight uint16
 	Done     float32
 	Failed   float32
 	Pace     float32
@@ -74,16 +78,20 @@
 	return d, err
 }
 
-// Compact returns observations in the form of a digest.
-func Compact(seen map[placing.ServerKey]placing.Observation) map[placing.ServerKey]Seen {
-	compact := make(map[placing.ServerKey]Seen, len(seen))
+// WithObservations returns the digest with the sender's observations: the loads,
+// and the rest if the digest is whole.
+func (d Digest) WithObservations(seen map[placing.ServerKey]placing.Observation) Digest {
+	d.Loads = make(map[placing.ServerKey]uint16)
+	d.Seen = make(map[placing.ServerKey]Seen)
 	for key, o := range seen {
-		compact[key] = Seen{
-			InFlight: uint16(min(o.InFlight, 1<<16-1)),
-			Done:     float32(o.Done), Failed: float32(o.Failed), Pace: float32(o.Pace),
+		if o.InFlight > 0 {
+			d.Loads[key] = uint16(min(o.InFlight, 1<<16-1))
+		}
+		if d.Whole && o.Done+o.Failed > 0 {
+			d.Seen[key] = Seen{Done: float32(o.Done), Failed: float32(o.Failed), Pace: float32(o.Pace)}
 		}
 	}
-	return compact
+	return d
 }
 
 // CompactHomes returns placements in the form of a digest.
@@ -104,14 +112,11 @@
 	return told
 }
 
-// Observations returns a digest's observations.
+// Observations returns a whole digest's observations without the loads.
 func (d Digest) Observations() map[placing.ServerKey]placing.Observation {
 	seen := make(map[placing.ServerKey]placing.Observation, len(d.Seen))
 	for key, s := range d.Seen {
-		seen[key] = placing.Observation{
-			InFlight: int(s.InFlight),
-			Done:     float64(s.Done), Failed: float64(s.Failed), Pace: float64(s.Pace),
-		}
+		seen[key] = placing.Observation{Done: float64(s.Done), Failed: float64(s.Failed), Pace: float64(s.Pace)}
 	}
 	return seen
 }
--- a/internal/router/neighbour/table.go
+++ b/internal/router/neighbour/table.go
@@ -17,9 +17,11 @@
 	knownFor = 45 * time.Second
 	// maxOthers bounds the routers that a digest names.
 	maxOthers = 6
-	// fanout is the number of routers that get one round of digests. It keeps
-	// the traffic of a router the same at any size of the fleet.
-	fanout = 10
+	// wholeFanout and loadFanout are the numbers of routers that get one round of
+	// whole digests and of loads. They bound the traffic of a router at any size
+	// of the fleet.
+	wholeFanout = 10
+	loadFanout  = 40
 )
 
 // known is a row of the table.
@@ -146,7 +148,7 @@
 }
 
 // Targets returns the addresses that get the next round of digests.
-func (t *Table) Targets(now time.Time) []string {
+func (t *Table) Targets(now time.Time, whole bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var targets []string
@@ -158,6 +160,10 @@
 		}
 	}
 	t.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	fanout := loadFanout
+	if whole {
+		fanout = wholeFanout
+	}
 	targets = targets[:min(fanout, len(targets))]
 	for _, seed := range t.seeds {
 		// Seeds are asked while little is known, and now and then after a cut.
--- a/internal/router/placing/table.go
+++ b/internal/router/placing/table.go
@@ -58,6 +58,9 @@
 	// ListAge is the age of the list of servers.
 	ListAge time.Duration
 	Cold    bool
+	// KeptAt is the address of a server that keeps the prompt, where this one is
+	// not believed to; it may be fetched from there.
+	KeptAt string
 }
 
 // Config configures a Table.
@@ -82,12 +85,19 @@
 	// means holds the mean latency of each route, in seconds.
 	means map[string]float64
 	peers map[string]peerView
-	homes *Homes
+	// peersChanged is set when the neighbours' views must be added up anew.
+	peersChanged bool
+	// sumsUntil is when the oldest of these views expires.
+	sumsUntil time.Time
+	homes     *Homes
 }
 
+// peerView is what one neighbour has told last.
 type peerView struct {
-	at   time.Time
-	seen map[ServerKey]Observation
+	// at is when the loads came.
+	at    time.Time
+	loads map[ServerKey]uint16
+	seen  map[ServerKey]Observation
 }
 
 // peerTimeout is the age after which a neighbour's observations don't count: it
@@ -207,24 +217,51 @@
 	}
 }
 
-// SetPeer takes a neighbour's observations.
+// SetPeer takes a neighbour's observations, but for the loads.
 func (t *Table) SetPeer(now time.Time, peer string, seen map[ServerKey]Observation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[peer] = peerView{now, seen}
-	t.sumPeers(now)
+	view := t.peers[peer]
+	view.at = now
+	view.seen = seen
+	t.peers[peer] = view
+	t.peersChanged = true
+}
+
+// SetPeerLoads takes the requests that a neighbour has under way.
+func (t *Table) SetPeerLoads(now time.Time, peer string, loads map[ServerKey]uint16) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	view := t.peers[peer]
+	view.at = now
+	view.loads = loads
+	t.peers[peer] = view
+	t.peersChanged = true
 }
 
+// sumPeers adds up the neighbours' views, if one has changed.
 func (t *Table) sumPeers(now time.Time) {
+	if !t.peersChanged && now.Before(t.sumsUntil) {
+		return
+	}
+	t.peersChanged = false
+	t.sumsUntil = now.Add(peerTimeout)
 	sums := make(map[ServerKey]Observation, len(t.servers))
 	for name, view := range t.peers {
 		if now.Sub(view.at) > peerTimeout {
 			delete(t.peers, name)
 			continue
 		}
+		if until := view.at.Add(peerTimeout); until.Before(t.sumsUntil) {
+			t.sumsUntil = until
+		}
+		for key, n := range view.loads {
+			s := sums[key]
+			s.InFlight += int(n)
+			sums[key] = s
+		}
 		for key, o := range view.seen {
 			s := sums[key]
-			s.InFlight += o.InFlight
 			s.Done += o.Done
 			s.Failed += o.Failed
 			s.Pace += o.Pace
@@ -256,13 +293,14 @@
 func (t *Table) Pick(now time.Time, q Query) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.sumPeers(now)
 	able := t.able(now, q)
 	if len(able) == 0 {
 		return Choice{}, bronzerill.Errorf(bronzerill.KindNoServer, "no server of %s takes work", q.Service.Name)
 	}
 	mean := meanLoad(able)
 	if q.Service.Engine {
-		t.orderByAffinity(now, able, q.Affinity, mean)
+		t.orderByAffinity(now, able, q.Affinity, t.loadBound(mean, t.serviceMean(q.Service.Name)))
 	} else {
 		t.orderByWait(able)
 	}
@@ -273,6 +311,7 @@
 		choice := Choice{Server: r.Server, Load: r.inFlight(), Mean: mean, Rank: rank, ListAge: now.Sub(t.listAt), Cold: r.isCold(now)}
 		r.own++
 		if q.Service.Engine && q.Affinity != 0 {
+			choice.KeptAt = t.keptAt(now, q, r)
 			t.homes.Place(now, Placement{q.Affinity, r.key})
 		}
 		return choice, nil
@@ -280,6 +319,28 @@
 	return Choice{}, bronzerill.Errorf(bronzerill.KindCold, "every server of %s that takes work is cold", q.Service.Name)
 }
 
+// keptAt returns the address of a sound server that keeps the prompt, if the
+// chosen one doesn't. Servers that leave count: their prompts would be lost.
+func (t *Table) keptAt(now time.Time, q Query, chosen *record) string {
+	homes := t.homes.Get(now, q.Affinity)
+	if slices.Contains(homes, chosen.key) {
+		return ""
+	}
+	best := (*record)(nil)
+	for _, r := range t.servers {
+		if r.Service != chosen.Service || !r.proven || now.Before(r.downUntil) || q.ZoneOut(r.Zone) || !slices.Contains(homes, r.key) {
+			continue
+		}
+		if best == nil || r.Zone == chosen.Zone && best.Zone != chosen.Zone || r.Zone == best.Zone && r.inFlight() < best.inFlight() {
+			best = r
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Addr
+}
+
 // able returns the servers that may take a request, but for their cold start.
 func (t *Table) able(now time.Time, q Query) []*record {
 	var able, down, ejected []*record
@@ -347,6 +408,7 @@
 	return kept, ejected
 }
 
+// meanLoad returns the mean load of servers that take work.
 func meanLoad(able []*record) float64 {
 	sum := 0
 	for _, r := range able {
@@ -355,36 +417,99 @@
 	return float64(sum) / float64(len(able))
 }
 
-// Parameters of the bound on a server's load relative to the mean. The
-// deployment's own bound is looser, by what digests are late.
+// serviceMean returns the mean load of all servers of a service, also of those
+// that take no work: the deployment's bound is relative to it.
+func (t *Table) serviceMean(service string) float64 {
+	sum, n := 0, 0
+	for _, r := range t.servers {
+		if r.Service == service {
+			sum += r.inFlight()
+			n++
+		}
+	}
+	return float64(sum) / float64(max(1, n))
+}
+
+// Parameters of the bound on a server's load relative to its service's mean.
 const (
-	loadMultiple = 1.8
-	loadSlack    = 2.9
+	// defaultMultiple stands where the deployment sets none.
+	defaultMultiple = 2.0
+	// minRoom above the mean keeps prompts where they are warm when a large part
+	// of the servers takes no work.
+	minRoom = 1.5
+	// boundSlack lets servers take work while the mean is low.
+	boundSlack = 3.0
+	// boundUse is the part of the bound that is used while every router hears
+	// every other one in each round of digests.
+	boundUse = 0.95
+	// boundRound is what each further round costs that it takes to hear all.
+	boundRound = 0.3
+	// heardAtOnce is the number of routers whose loads come in each round.
+	heardAtOnce = 40.0
 )
 
+// loadBound returns the load above which a server is passed over, between the
+// mean of the servers that take work and the deployment's bound. Loads are known
+// later the more routers there are, and the bound holds for what a server really
+// carries, so it is drawn in by as much.
+func (t *Table) loadBound(ableMean, serviceMean float64) float64 {
+	multiple := t.limits.LoadMultiple
+	if multiple == 0 {
+		multiple = defaultMultiple
+	}
+	rounds := max(1, float64(len(t.entries))/heardAtOnce)
+	use := boundUse / (1 + boundRound*(rounds-1))
+	room := multiple*serviceMean + boundSlack - ableMean
+	return ableMean + use*max(minRoom, room)
+}
+
+// spillChoices is the number of servers among which a request may be moved by
+// load. Every router sees the same stale loads, so the least loaded of all would
+// be flooded; each prompt has other choices.
+const spillChoices = 4
+
 // orderByAffinity sorts servers: first those that keep the prompt, the least
 // loaded before, then the others by rendezvous hash, so that all routers pick the
-// same one. Those above the load bound come last, by load.
-func (t *Table) orderByAffinity(now time.Time, able []*record, affinity uint64, mean float64) {
+// same one. When the first few are above the load bound, others come by lot.
+func (t *Table) orderByAffinity(now time.Time, able []*record, affinity uint64, bound float64) {
 	if affinity == 0 {
 		t.orderByWait(able)
 		return
 	}
-	bound := loadMultiple*mean + loadSlack
 	homes := t.homes.Get(now, affinity)
-	weight := make(map[*record]float64, len(able))
+	order := make(map[*record]float64, len(able))
+	load := make(map[*record]float64, len(able))
 	for _, r := range able {
-		load := float64(r.inFlight()+1) * r.paceRatio()
+		load[r] = float64(r.inFlight()+1) * r.paceRatio()
+		order[r] = rendezvous(affinity, r.ID)
+		if slices.Contains(homes, r.key) {
+			order[r] = 1 + 1/(1+load[r])
+		}
+	}
+	sort.SliceStable(able, func(i, j int) bool { return order[able[i]] > order[able[j]] })
+	few, others := able[:min(spillChoices, len(able))], able[min(spillChoices, len(able)):]
+	t.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	class := func(r *record, isFew bool) int {
 		switch {
-		case load > bound:
-			weight[r] = -load
-		case slices.Contains(homes, r.key):
-			weight[r] = 1 + 1/(1+load)
-		default:
-			weight[r] = rendezvous(affinity, r.ID)
+		case load[r] <= bound && isFew:
+			return 0
+		case load[r] <= bound:
+			return 1
+		case isFew:
+			return 2
+		}
+		return 3
+	}
+	rank := make(map[*record]float64, len(able))
+	for i, r := range able {
+		// Preference within a class: the order for those within the bound, the
+		// load for those above it.
+		rank[r] = float64(class(r, i < len(few))) + float64(i)/float64(len(able)+1)
+		if load[r] > bound {
+			rank[r] = float64(class(r, i < len(few))) + load[r]/(load[r]+bound)
 		}
 	}
-	sort.SliceStable(able, func(i, j int) bool { return weight[able[i]] > weight[able[j]] })
+	sort.SliceStable(able, func(i, j int) bool { return rank[able[i]] < rank[able[j]] })
 }
 
 // rendezvous returns a number above 0 that is uniform over pairs.
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -196,14 +196,19 @@
 	d.Revision = r.holder.Revision()
 	d.Leader, d.Term = r.group.leader(now)
 	d.ListAge, d.ListSum = r.list.age(now)
-	d.Seen = neighbour.Compact(r.servers.Observations(now))
-	d.Homes = neighbour.CompactHomes(r.servers.Tell(now))
+	*d = d.WithObservations(r.servers.Observations(now))
+	if d.Whole {
+		d.Homes = neighbour.CompactHomes(r.servers.Tell(now))
+	}
 }
 
 // received takes what a digest shows to be new.
 func (r *Router) received(now time.Time, d neighbour.Digest) {
-	r.servers.SetPeer(now, d.From.Name, d.Observations())
-	r.servers.Hear(now, d.Placements())
+	r.servers.SetPeerLoads(now, d.From.Name, d.Loads)
+	if d.Whole {
+		r.servers.SetPeer(now, d.From.Name, d.Observations())
+		r.servers.Hear(now, d.Placements())
+	}
 	if d.Revision > r.holder.Revision() {
 		r.holder.fetchFrom(d.From.Addr)
 	}
