Load seen plus what neighbours are likely to have sent since

Change: the load estimate adds the neighbours' rate times the age of their loads; prompts are fetched out of zones that are out too.

--- a/internal/router/placing/server.go
+++ b/internal/router/placing/server.go
@@ -110,7 +110,18 @@
 
 func (r *record) inFlight() int { return r.own + r.peers.InFlight }
 
-// done returns the weight of finished requests, seen here and by neighbours.
+// loadAge is how old the neighbours' loads are at the most, as long as digests
+// arrive.
+const loadAge = 100 * time.Millisecond
+
+// unseen returns the number of requests that neighbours are likely to have sent
+// since they told their loads.
+func (r *record) unseen() float64 {
+	perSecond := (r.peers.Done + r.peers.Failed) * math.Ln2 / halfLife.Seconds()
+	return perSecond * loadAge.Seconds()
+}
+
+// observed returns the weight of finished requests, seen here and by neighbours.
 func (r *record) observed() (done, failed, pace float64) {
 	return r.seen.done + r.peers.Done, r.seen.failed + r.peers.Failed, r.seen.pace + r.peers.Pace
 }
--- a/internal/router/placing/table.go
+++ b/internal/router/placing/table.go
@@ -328,7 +328,7 @@
 	}
 	best := (*record)(nil)
 	for _, r := range t.servers {
-		if r.Service != chosen.Service || !r.proven || now.Before(r.downUntil) || q.ZoneOut(r.Zone) || !slices.Contains(homes, r.key) {
+		if r.Service != chosen.Service || !r.proven || now.Before(r.downUntil) || !slices.Contains(homes, r.key) {
 			continue
 		}
 		if best == nil || r.Zone == chosen.Zone && best.Zone != chosen.Zone || r.Zone == best.Zone && r.inFlight() < best.inFlight() {
@@ -444,8 +444,8 @@
 	boundUse = 0.95
 	// boundRound is what each further round costs that it takes to hear all.
 	boundRound = 0.3
-	// heardAtOnce is the number of routers whose loads come in each round.
-	heardAtOnce = 40.0
+	// heardAtOnce is the number of routers of which one round tells enough.
+	heardAtOnce = 10.0
 )
 
 // loadBound returns the load above which a server is passed over, between the
@@ -480,7 +480,7 @@
 	order := make(map[*record]float64, len(able))
 	load := make(map[*record]float64, len(able))
 	for _, r := range able {
-		load[r] = float64(r.inFlight()+1) * r.paceRatio()
+		load[r] = (float64(r.inFlight()+1) + r.unseen()) * r.paceRatio()
 		order[r] = rendezvous(affinity, r.ID)
 		if slices.Contains(homes, r.key) {
 			order[r] = 1 + 1/(1+load[r])
