--- /dev/null
+++ b/internal/router/server/client_test.go
@@ -0,0 +1,338 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"bronzerill"
+)
+
+// raw is a server that is scripted by connection: it reads each request and
+// hands it to the script.
+type raw struct {
+	listener net.Listener
+	conns    atomic.Int32
+	requests atomic.Int32
+}
+
+func serve(t *testing.T, script func(conn *net.TCPConn, n int)) *raw {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &raw{listener: listener}
+	var group errgroup.Group
+	var mu sync.Mutex
+	var open []net.Conn
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			mu.Lock()
+			open = append(open, conn)
+			mu.Unlock()
+			s.conns.Add(1)
+			group.Go(func() error { s.run(conn.(*net.TCPConn), script); return nil })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		mu.Lock()
+		for _, conn := range open {
+			_ = conn.Close()
+		}
+		mu.Unlock()
+		_ = group.Wait()
+	})
+	return s
+}
+
+func (s *raw) run(conn *net.TCPConn, script func(conn *net.TCPConn, n int)) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for n := 1; ; n++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		s.requests.Add(1)
+		script(conn, n)
+	}
+}
+
+func (s *raw) addr() string { return s.listener.Addr().String() }
+
+func send(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+func newTestClient() *Client { return NewClient(Config{Clock: time.Now}) }
+
+func call(addr string) Call {
+	return Call{
+		Addr: addr, Method: http.MethodPost, Target: "/a/b?c=%2F", Host: "h.example",
+		Header: http.Header{"X-Id": {"1"}}, Body: []byte("body"),
+		Owns: func(h http.Header) bool { return h.Get("X-Id") == "" || h.Get("X-Id") == "1" },
+	}
+}
+
+func within(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func runOf(t *testing.T, err error) bronzerill.Run {
+	var failed *Error
+	require.True(t, errors.As(err, &failed), "%v", err)
+	return failed.Run
+}
+
+func read(t *testing.T, answer *Answer) (string, error) {
+	data, err := io.ReadAll(answer.Body)
+	require.NoError(t, answer.Body.Close())
+	return string(data), err
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	s := serve(t, func(conn *net.TCPConn, _ int) { send(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") })
+	c := newTestClient()
+	for range 3 {
+		answer, err := c.Do(within(t), call(s.addr()))
+		require.NoError(t, err)
+		body, err := read(t, answer)
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	require.EqualValues(t, 1, s.conns.Load())
+}
+
+func TestConnectionsThatMustNotBeUsedAgain(t *testing.T) {
+	tests := []struct{ name, answer string }{
+		{"an answer after the answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"},
+		{"bytes after the answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok\x00\x01"},
+		{"the server closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"},
+		{"the server closes idle connections at once", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := serve(t, func(conn *net.TCPConn, _ int) { send(conn, test.answer) })
+			c := newTestClient()
+			for range 3 {
+				answer, err := c.Do(within(t), call(s.addr()))
+				require.NoError(t, err)
+				body, err := read(t, answer)
+				require.NoError(t, err)
+				require.Equal(t, "ok", body)
+				time.Sleep(5 * time.Millisecond)
+			}
+			require.EqualValues(t, 3, s.conns.Load())
+		})
+	}
+}
+
+func TestLateAnswerOfAnotherRequestIsPassedOver(t *testing.T) {
+	s := serve(t, func(conn *net.TCPConn, n int) {
+		if n == 2 {
+			send(conn, "HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 5\r\n\r\nwrong")
+		}
+		send(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok")
+	})
+	c := newTestClient()
+	for range 2 {
+		answer, err := c.Do(within(t), call(s.addr()))
+		require.NoError(t, err)
+		body, err := read(t, answer)
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+}
+
+// TestNothingIsSentTwice closes or resets the connection once the request is
+// read: the call fails as unknown, and the server has seen one request.
+func TestNothingIsSentTwice(t *testing.T) {
+	tests := []struct {
+		name   string
+		script func(conn *net.TCPConn, n int)
+	}{
+		{"closed", func(conn *net.TCPConn, _ int) { _ = conn.Close() }},
+		{"reset", func(conn *net.TCPConn, _ int) { _ = conn.SetLinger(0); _ = conn.Close() }},
+		{"half a head", func(conn *net.TCPConn, _ int) { send(conn, "HTTP/1.1 200"); _ = conn.Close() }},
+		{"no answer in the protocol", func(conn *net.TCPConn, _ int) { send(conn, "\x00\x01\x02 nonsense\r\n\r\n"); _ = conn.Close() }},
+		{"kept connection dies", func(conn *net.TCPConn, n int) {
+			if n == 1 {
+				send(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			} else {
+				_ = conn.Close()
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := serve(t, test.script)
+			c := newTestClient()
+			want := int32(1)
+			if strings.HasPrefix(test.name, "kept") {
+				answer, err := c.Do(within(t), call(s.addr()))
+				require.NoError(t, err)
+				_, err = read(t, answer)
+				require.NoError(t, err)
+				want = 2
+			}
+			_, err := c.Do(within(t), call(s.addr()))
+			require.Equal(t, bronzerill.RunUnknown, runOf(t, err))
+			require.Equal(t, want, s.requests.Load())
+		})
+	}
+}
+
+func TestRefusedConnectionHasNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	_, err = newTestClient().Do(within(t), call(listener.Addr().String()))
+	require.Equal(t, bronzerill.RunNot, runOf(t, err))
+}
+
+func TestBrokenBodiesAreErrors(t *testing.T) {
+	tests := []struct{ name, answer string }{
+		{"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok"},
+		{"without its last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"},
+		{"in the middle of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := serve(t, func(conn *net.TCPConn, _ int) { send(conn, test.answer); _ = conn.Close() })
+			answer, err := newTestClient().Do(within(t), call(s.addr()))
+			require.NoError(t, err)
+			_, err = read(t, answer)
+			require.Error(t, err)
+		})
+	}
+}
+
+func TestBodyWithoutLengthEndsWithItsConnection(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		s := serve(t, func(conn *net.TCPConn, _ int) {
+			send(conn, "HTTP/1.1 200 OK\r\n\r\nok")
+			if reset {
+				time.Sleep(20 * time.Millisecond)
+				_ = conn.SetLinger(0)
+			}
+			_ = conn.Close()
+		})
+		answer, err := newTestClient().Do(within(t), call(s.addr()))
+		require.NoError(t, err)
+		require.False(t, answer.Framed)
+		body, err := read(t, answer)
+		require.Equal(t, reset, err != nil)
+		require.Equal(t, "ok", body)
+	}
+}
+
+// TestEarlyAnswerOfALongRequest answers before the body is read, and reads on
+// later: whatever arrives there is the rest of the body.
+func TestEarlyAnswerOfALongRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	var group errgroup.Group
+	rest := make(chan []byte, 1)
+	group.Go(func() error {
+		conn, err := listener.Accept()
+		if err != nil {
+			return nil
+		}
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return err
+		}
+		send(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+		data, _ := io.ReadAll(request.Body)
+		rest <- data
+		return nil
+	})
+	long := call(listener.Addr().String())
+	long.Body = []byte(strings.Repeat("x", 8<<20))
+	c := newTestClient()
+	answer, err := c.Do(within(t), long)
+	require.NoError(t, err)
+	body, err := read(t, answer)
+	require.NoError(t, err)
+	require.Equal(t, "no", body)
+	require.NotContains(t, string(<-rest), "POST")
+	require.Empty(t, c.pool.idle[long.Addr], "the request was not sent whole, so its connection isn't kept")
+	require.NoError(t, group.Wait())
+}
+
+func TestCallerLeavesAndTheConnectionCloses(t *testing.T) {
+	closed := make(chan error, 1)
+	s := serve(t, func(conn *net.TCPConn, _ int) {
+		_, err := conn.Read(make([]byte, 1))
+		closed <- err
+	})
+	ctx, cancel := context.WithCancel(within(t))
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := newTestClient().Do(ctx, call(s.addr()))
+	require.Equal(t, bronzerill.RunUnknown, runOf(t, err))
+	select {
+	case err := <-closed:
+		require.Error(t, err)
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the server still holds the connection half a second later")
+	}
+}
+
+func TestRequestGoesOutUnchanged(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	web := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(data)))
+		got <- r
+		w.WriteHeader(http.StatusOK)
+	})}
+	var group errgroup.Group
+	group.Go(func() error { _ = web.Serve(listener); return nil })
+	defer func() { _ = web.Close(); _ = group.Wait() }()
+	answer, err := newTestClient().Do(within(t), call(listener.Addr().String()))
+	require.NoError(t, err)
+	_, err = read(t, answer)
+	require.NoError(t, err)
+	r := <-got
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	require.Equal(t, "/a/b?c=%2F", r.RequestURI)
+	require.Equal(t, "h.example", r.Host)
+	require.Equal(t, "body", string(body))
+	require.Equal(t, "1", r.Header.Get("X-Id"))
+}
+
+func TestIdleConnectionsAreSwept(t *testing.T) {
+	s := serve(t, func(conn *net.TCPConn, _ int) { send(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") })
+	c := newTestClient()
+	answer, err := c.Do(within(t), call(s.addr()))
+	require.NoError(t, err)
+	_, err = read(t, answer)
+	require.NoError(t, err)
+	c.Sweep(time.Now())
+	require.Len(t, c.pool.idle, 1)
+	c.Sweep(time.Now().Add(idleTime))
+	require.Empty(t, c.pool.idle)
+}
