--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -61,7 +61,7 @@
 // firstWait is how long the chosen server may take for its first event or its
 // answer, 0 if there is no other one to go to.
 func (x *exchange) firstWait(now time.Time) time.Duration {
-	if !x.mayMove() {
+	if !x.mayMove(x.runs + 1) {
 		return 0
 	}
 	wait := max(minSilence, x.route.Objective)
@@ -76,14 +76,16 @@
 
 // pauseWait is how long a stream may pause before it goes on elsewhere.
 func (x *exchange) pauseWait() time.Duration {
-	if !x.mayMove() {
+	if !x.mayMove(x.runs) {
 		return 0
 	}
 	return max(minSilence, silentFactor*x.route.PauseObjective)
 }
 
-func (x *exchange) mayMove() bool {
-	return x.route.MayRepeat() && x.runs+1 < x.route.MaxAttempts
+// mayMove reports whether another server may be asked after the given number of
+// runs.
+func (x *exchange) mayMove(runs int) bool {
+	return x.route.MayRepeat() && runs < x.route.MaxAttempts
 }
 
 // eventEnd ends an event of a stream.
