--- a/internal/control/replica/selfrepair_test.go
+++ b/internal/control/replica/selfrepair_test.go
@@ -135,7 +135,7 @@
 		c.loss, c.double = 0.02, 0.05
 		alive := []string{"a", "b", "c"}
 		for round := range 6 {
-			c.mustCommit(uint64(100*seed) + uint64(round))
+			c.mustCommit(100*seed + uint64(round))
 			lost := random.IntN(len(alive))
 			name := alive[lost]
 			c.crash(name)
--- /dev/null
+++ b/internal/operator/journal/sink_test.go
@@ -0,0 +1,34 @@
+package journal
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWriteNeverBlocks(t *testing.T) {
+	sink := NewSink(&bytes.Buffer{})
+	before := dropped.Value()
+	begun := time.Now()
+	for range maxQueued + 100 {
+		n, err := sink.Write([]byte("line\n"))
+		require.NoError(t, err)
+		require.Equal(t, 5, n)
+	}
+	require.Less(t, time.Since(begun), time.Second)
+	require.EqualValues(t, 100, dropped.Value()-before)
+}
+
+func TestLastLinesAreWrittenAtTheEnd(t *testing.T) {
+	var out bytes.Buffer
+	sink := NewSink(&out)
+	_, err := sink.Write([]byte("stopped\n"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, sink.Run(ctx))
+	require.Equal(t, "stopped\n", out.String())
+}
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -27,14 +27,9 @@
 	minPatience = 10 * time.Millisecond
 )
 
-// Times after which a caller whose request wasn't run may come back.
-const (
-	// retrySoon is for a shortage at this instance only.
-	retrySoon = 150 * time.Millisecond
-	// retryRoom is for a service without room: about the time in which a server
-	// finishes a request.
-	retryRoom = 400 * time.Millisecond
-)
+// retryRoom is when a caller whose request wasn't run may come back: about the
+// time in which a server finishes a request.
+const retryRoom = 400 * time.Millisecond
 
 // attempt is the end of one try at one server.
 type attempt struct {
--- /dev/null
+++ b/internal/router/neighbour/table_test.go
@@ -0,0 +1,133 @@
+package neighbour
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzerill/internal/router/placing"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func digest(name string, sequence uint64) Digest {
+	return Digest{From: Peer{Name: name, Addr: name + ":1", Started: 1}, Sequence: sequence, ListAge: -1}
+}
+
+func newTable() *Table {
+	return NewTable(Peer{Name: "self", Addr: "self:1"}, []string{"seed:1", "self:1"}, 1)
+}
+
+func TestDigestRoundTrip(t *testing.T) {
+	seen := map[placing.ServerKey]placing.Observation{7: {InFlight: 3, Done: 2, Failed: 1, Pace: 2.5}, 8: {Done: 1}}
+	for _, whole := range []bool{true, false} {
+		d := digest("a", 1)
+		d.Whole = whole
+		d = d.WithObservations(seen)
+		d.Homes = CompactHomes([]placing.Placement{{Prompt: 1 << 60, Server: 7}})
+		data, err := d.encode()
+		require.NoError(t, err)
+		got, err := decodeDigest(data)
+		require.NoError(t, err)
+		require.Equal(t, map[placing.ServerKey]uint16{7: 3}, got.Loads)
+		require.Equal(t, []placing.Placement{{Prompt: 1 << 60, Server: 7}}, got.Placements())
+		if whole {
+			require.InDelta(t, 2.5, got.Observations()[7].Pace, 1e-6)
+		} else {
+			require.Empty(t, got.Observations())
+		}
+	}
+}
+
+func TestOldDigestsAreLeftAside(t *testing.T) {
+	table := newTable()
+	require.True(t, table.Receive(start, digest("a", 2)))
+	require.False(t, table.Receive(start, digest("a", 1)))
+	require.False(t, table.Receive(start, digest("a", 2)))
+	restarted := digest("a", 1)
+	restarted.From.Started = 2
+	require.True(t, table.Receive(start, restarted), "a restarted process counts anew")
+	require.False(t, table.Receive(start, digest("a", 3)), "the process before it is over")
+	require.False(t, table.Receive(start, digest("self", 9)))
+}
+
+func TestNewestTermNamesTheLeader(t *testing.T) {
+	table := newTable()
+	for i, term := range []uint64{3, 5, 4} {
+		d := digest(fmt.Sprint(i), 1)
+		d.Leader, d.Term = fmt.Sprintf("leader-%d", term), term
+		table.Receive(start, d)
+	}
+	leader, term := table.Leader(start)
+	require.Equal(t, "leader-5", leader)
+	require.EqualValues(t, 5, term)
+	leader, _ = table.Leader(start.Add(aliveFor))
+	require.Empty(t, leader)
+}
+
+func TestFreshestListIsTaken(t *testing.T) {
+	table := newTable()
+	for i, age := range []time.Duration{time.Second, 100 * time.Millisecond, -1} {
+		d := digest(fmt.Sprint(i), 1)
+		d.ListAge, d.ListSum = age, uint64(i)
+		table.Receive(start, d)
+	}
+	addr, at, sum := table.FresherList(start, start.Add(-500*time.Millisecond), 150*time.Millisecond)
+	require.Equal(t, "1:1", addr)
+	require.Equal(t, start.Add(-100*time.Millisecond), at)
+	require.EqualValues(t, 1, sum)
+	addr, _, _ = table.FresherList(start, start.Add(-200*time.Millisecond), 150*time.Millisecond)
+	require.Empty(t, addr)
+}
+
+// TestOneRouterReadsTheList answers the shared rate of the list: routers take
+// turns by rank, and the next one takes over when the first falls silent.
+func TestOneRouterReadsTheList(t *testing.T) {
+	table := newTable()
+	table.Receive(start, digest("a", 1))
+	table.Receive(start, digest("z", 1))
+	require.Equal(t, 1, table.Rank(start))
+	require.Equal(t, 0, table.Rank(start.Add(aliveFor)))
+}
+
+// TestSilentRoutersStillCount answers a cut between routers: budgets are shared
+// among all that may be at work on the other side.
+func TestSilentRoutersStillCount(t *testing.T) {
+	table := newTable()
+	table.Receive(start, digest("a", 1))
+	table.Expire(start.Add(knownFor - time.Second))
+	require.Equal(t, []string{"a", "self"}, table.Names())
+	table.Expire(start.Add(2 * knownFor))
+	require.Equal(t, []string{"self"}, table.Names())
+}
+
+func TestTrafficIsBoundedAtAnySize(t *testing.T) {
+	table := newTable()
+	for i := range 1300 {
+		table.Receive(start, digest(fmt.Sprintf("r%d", i), 1))
+	}
+	for range 50 {
+		require.LessOrEqual(t, len(table.Targets(start, true)), wholeFanout+1)
+		require.LessOrEqual(t, len(table.Targets(start, false)), loadFanout+1)
+		require.LessOrEqual(t, len(table.Others(start)), maxOthers)
+	}
+}
+
+func TestSeedsAreAskedWhileLittleIsKnown(t *testing.T) {
+	require.Equal(t, []string{"seed:1"}, newTable().Targets(start, true))
+}
+
+func FuzzDigest(f *testing.F) {
+	data, err := digest("a", 1).encode()
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if d, err := decodeDigest(data); err == nil {
+			newTable().Receive(start, d)
+			d.Observations()
+			d.Placements()
+		}
+	})
+}
--- a/internal/router/placing/server.go
+++ b/internal/router/placing/server.go
@@ -103,9 +103,6 @@
 	// proven is false after the server was down, until it has answered.
 	proven bool
 	cold   bucket
-	// ejected reports whether the server was left out at the last look, for the
-	// log.
-	ejected bool
 }
 
 func (r *record) inFlight() int { return r.own + r.peers.InFlight }
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -99,7 +99,7 @@
 	request := newRequest(call)
 	release := context.AfterFunc(ctx, func() { _ = link.Close() })
 	sent := newSending(link, request, len(call.Body))
-	response, err := c.read(link, request, call.Owns)
+	response, err := c.read(link, request, call.Owns) //nolint:bodyclose // the answer carries the body on
 	if err != nil {
 		release()
 		_ = link.Close()
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -147,9 +147,9 @@
 		g.router.log.Info("data folder prepared", "replica", name, "founder", false)
 		return replica.InitStore(folder, name, replica.Members{})
 	}
-	founder, err := g.mayFound(ctx)
-	if err != nil || ctx.Err() != nil {
-		return err
+	founder := g.mayFound(ctx)
+	if ctx.Err() != nil {
+		return nil
 	}
 	members := replica.Members{}
 	if founder {
@@ -161,31 +161,31 @@
 
 // mayFound asks the first of the seeds, which is the same one for all, until it
 // has an answer or a group is known.
-func (g *group) mayFound(ctx context.Context) (bool, error) {
+func (g *group) mayFound(ctx context.Context) bool {
 	seeds := g.router.peers.Seeds()
 	registrar := slices.Min(seeds)
 	self := g.router.settings.Router
 	request := neighbour.FoundRequest{Name: g.router.settings.Name, Addr: self.Internal}
 	if registrar == self.Internal {
-		return g.Found(request), nil
+		return g.Found(request)
 	}
 	for ctx.Err() == nil {
 		if leader, _ := g.router.peers.Leader(time.Now()); leader != "" {
-			return false, nil
+			return false
 		}
 		var reply neighbour.FoundReply
 		callCtx, cancel := context.WithTimeout(ctx, neighbour.CallTimeout)
 		err := g.router.clients.Call(callCtx, registrar, "Found", &request, &reply)
 		cancel()
 		if err == nil {
-			return reply.Granted, nil
+			return reply.Granted
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(foundInterval):
 		}
 	}
-	return false, nil
+	return false
 }
 
 // Found grants the founding to one replica: to this router's own, if it has a
