--- a/internal/operator/command/app.go
+++ b/internal/operator/command/app.go
@@ -47,7 +47,7 @@
 		Commands: []*cli.Command{
 			runCommand(), checkCommand(), initCommand(),
 			ticketCommand(), zoneCommand(), reportCommand(), promiseCommand(),
-			statusCommand(), repairCommand(), quarantineCommand(), versionCommand(),
+			statusCommand(), repairCommand(), quarantineCommand(), explainCommand(), versionCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -56,7 +56,8 @@
 	// callers is the port for callers.
 	callers  *http.Server
 	stopping atomic.Bool
-	started  time.Time
+	// knownLeader is the leader that was logged last.
+	knownLeader string
 }
 
 // Run runs a router until SIGTERM. It returns nil after a graceful stop.
@@ -115,7 +116,6 @@
 		clients: neighbour.NewClients(secret),
 		servers: placing.NewTable(placing.Config{Entry: s.Name, Zone: s.Zone, Seed: seed}),
 		client:  server.NewClient(server.Config{Clock: time.Now}),
-		started: now,
 	}
 	r.servers.SetLimits(limits(*s.Router))
 	r.holder = newHolder(adapter, r.servers, log)
@@ -189,6 +189,16 @@
 	r.peers.Expire(now)
 	r.servers.SetEntries(r.peers.Names())
 	r.client.Sweep(now)
+	r.noteLeader(now)
+}
+
+// noteLeader logs the loss and the change of the control group's leader.
+func (r *Router) noteLeader(now time.Time) {
+	leader, term := r.group.leader(now)
+	if leader != r.knownLeader {
+		r.log.Info("leader changed", "leader", leader, "term", term, "before", r.knownLeader, "routers-alive", r.peers.Alive(now))
+		r.knownLeader = leader
+	}
 }
 
 // fill completes a digest.
