--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -20,6 +20,11 @@
 // maxBody bounds a request's body, in bytes.
 const maxBody = 8 << 20
 
+// retryState is when a caller may come back to a router that has just started: it
+// learns the desired state from its neighbours by then. Kinds that no retry helps
+// go without.
+const retryState = 300 * time.Millisecond
+
 // Config configures a Handler.
 type Config struct {
 	Dialect Dialect
@@ -59,7 +64,7 @@
 		start:   h.cfg.Clock(),
 	}
 	if kind := x.admit(); kind != bronzerill.KindNone {
-		x.refuse(kind, 0)
+		x.refuse(kind, retryState)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
