Requests that crash servers are quarantined by the sum over all routers

Cause: BUDGET bounds the retries of a request that crashes servers; entries without agents had nothing that counted them across routers. Ruled out: counting every broken connection (answers get lost without a crash); a loss counts only if the server is found gone within 2 s. Change: placing.Suspects, told in digests; refused as suspect, not run, after three. Tests: the sum over two routers, expiry, bounds, and through the table.

--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -216,9 +216,18 @@
 		return attempt{kind: bronzerill.KindUnreachable, run: bronzerill.RunNot, outcome: placing.OutcomeUnreachable, detail: err.Error()}
 	}
 	x.runs++
+	x.lost()
 	return attempt{kind: bronzerill.KindServerFailed, run: bronzerill.RunUnknown, outcome: placing.OutcomeFailed, detail: err.Error()}
 }
 
+// lost notes a connection that broke while the server ran the request, unless the
+// caller or the time ended it.
+func (x *exchange) lost() {
+	if now := x.cfg.Clock(); x.r.Context().Err() == nil && now.Before(x.deadline) {
+		x.cfg.Servers.Lost(now, x.print, x.choice)
+	}
+}
+
 func (x *exchange) call(now time.Time) server.Call {
 	orders := Orders{
 		Server:      x.choice.ID,
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -96,6 +96,8 @@
 	written bool
 	// last is the last event that went to the caller whole.
 	last string
+	// print identifies the request when it comes again.
+	print placing.Fingerprint
 }
 
 // admit finds route and customer, and reads the body.
@@ -116,6 +118,10 @@
 	if kind := x.readBody(); kind != bronzerill.KindNone {
 		return kind
 	}
+	x.print = x.fingerprint()
+	if x.cfg.Servers.IsQuarantined(x.start, x.print) {
+		return bronzerill.KindSuspect
+	}
 	x.service, found = x.table.Service(x.route.Target(xxhash.Sum64String(x.request.ID)))
 	if !found {
 		return bronzerill.KindUnknownRoute
@@ -148,6 +154,23 @@
 	return bronzerill.KindNone
 }
 
+// fingerprint returns the hash of what stays the same when a caller sends its
+// request again.
+func (x *exchange) fingerprint() placing.Fingerprint {
+	customer := ""
+	if x.customer != nil {
+		customer = x.customer.Name
+	}
+	h := xxhash.New()
+	for _, part := range []string{customer, x.r.Method, x.r.Host, x.r.RequestURI} {
+		// A hash never fails to write.
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(x.body)
+	return placing.Fingerprint(h.Sum64())
+}
+
 // priority returns the customer's priority, or else the route's.
 func (x *exchange) priority() int {
 	if x.customer != nil && x.customer.Priority != nil {
@@ -194,7 +217,7 @@
 func (x *exchange) logEnd(kind bronzerill.Kind, status int) {
 	now := x.cfg.Clock()
 	fields := []any{
-		"request", x.request.ID, "outcome", kind.String(), "run", kind.Answer().Run.String(), "path", x.r.URL.Path,
+		"request", x.request.ID, "print", uint64(x.print), "outcome", kind.String(), "run", kind.Answer().Run.String(), "path", x.r.URL.Path,
 		"ms", now.Sub(x.start).Milliseconds(), "status", status,
 	}
 	if x.table != nil {
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -126,6 +126,7 @@
 			return x.streamEnd(answer, flush, held)
 		}
 		if err != nil {
+			x.lost()
 			return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placing.OutcomeFailed}
 		}
 	}
--- a/internal/router/neighbour/message.go
+++ b/internal/router/neighbour/message.go
@@ -50,6 +50,8 @@
 	Seen map[placing.ServerKey]Seen
 	// Homes are prompts that servers keep.
 	Homes []Home
+	// Suspects are requests that crash servers, with the sender's counts.
+	Suspects []placing.Suspicion
 }
 
 // Home is the compact form of a placement.
--- a/internal/router/placing/table.go
+++ b/internal/router/placing/table.go
@@ -90,6 +90,7 @@
 	// sumsUntil is when the oldest of these views expires.
 	sumsUntil time.Time
 	homes     *Homes
+	suspects  *Suspects
 }
 
 // peerView is what one neighbour has told last.
@@ -114,7 +115,9 @@
 		means:   make(map[string]float64),
 		peers:   make(map[string]peerView),
 		homes:   NewHomes(),
-		entries: []string{cfg.Entry},
+
+		suspects: NewSuspects(),
+		entries:  []string{cfg.Entry},
 	}
 }
 
@@ -637,6 +640,7 @@
 		r.downUntil = now.Add(pause)
 		r.proven = false
 		t.homes.Forget(r.key)
+		t.suspects.Gone(now, r.ID)
 	case OutcomeNone:
 	}
 }
@@ -655,6 +659,34 @@
 	return t.homes.Tell(now)
 }
 
+// Lost notes that the connection to a server broke while it ran a request.
+func (t *Table) Lost(now time.Time, print Fingerprint, c Choice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspects.Lost(now, print, c.ID)
+}
+
+// IsQuarantined reports whether a request has crashed too many servers.
+func (t *Table) IsQuarantined(now time.Time, print Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects.IsQuarantined(now, print)
+}
+
+// HearSuspects takes a neighbour's counts of crashed servers.
+func (t *Table) HearSuspects(now time.Time, peer string, told []Suspicion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspects.Hear(now, peer, told)
+}
+
+// TellSuspects returns this router's counts of crashed servers.
+func (t *Table) TellSuspects(now time.Time) []Suspicion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects.Tell(now)
+}
+
 // Proven marks a server that has answered: after a failure to connect its cold
 // start is counted from its first answer.
 func (t *Table) Proven(now time.Time, c Choice, coldStart time.Duration) {
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -209,6 +209,7 @@
 	*d = d.WithObservations(r.servers.Observations(now))
 	if d.Whole {
 		d.Homes = neighbour.CompactHomes(r.servers.Tell(now))
+		d.Suspects = r.servers.TellSuspects(now)
 	}
 }
 
@@ -218,6 +219,7 @@
 	if d.Whole {
 		r.servers.SetPeer(now, d.From.Name, d.Observations())
 		r.servers.Hear(now, d.Placements())
+		r.servers.HearSuspects(now, d.From.Name, d.Suspects)
 	}
 	if d.Revision > r.holder.Revision() {
 		r.holder.fetchFrom(d.From.Addr)
