Fault soak of real router processes; a founder alone acknowledges nothing

Ruled out: elections and repair (no vote was possible without the founder). Change: the first change waits for 2 x losses + 1 voters (setting router.losses). Tests: TestFounderAloneAcknowledgesNothing fails without it. The soak: processes stopped, paused, killed, wiped; a proxy before each server that delays, resets and silences; checks at most once, whole answers, refusals, drains, reads never older.

--- /dev/null
+++ b/cmd/bronzerill-soak/fleet.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// node is one router process and what belongs to it.
+type node struct {
+	index  int
+	disk   bool
+	found  bool
+	wipes  int
+	cmd    *exec.Cmd
+	done   chan error
+	paused bool
+	// stoppedAt is when SIGTERM was sent, zero while the router runs.
+	stoppedAt time.Time
+}
+
+// fleet runs routers at 127.0.0.1 and on; only processes that it started are
+// ever signalled.
+type fleet struct {
+	cfg   config
+	list  string
+	ports map[string]int
+	mu    sync.Mutex
+	nodes []*node
+}
+
+func newFleet(cfg config, list string) (*fleet, error) {
+	f := &fleet{cfg: cfg, list: list, ports: make(map[string]int)}
+	for _, name := range []string{"callers", "readiness", "operators", "internal", "metrics"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a port")
+		}
+		f.ports[name] = listener.Addr().(*net.TCPAddr).Port
+		if err := listener.Close(); err != nil {
+			return nil, errors.Wrap(err, "find a port")
+		}
+	}
+	for i := range cfg.routers {
+		f.nodes = append(f.nodes, &node{index: i, disk: i < cfg.disks, found: true})
+	}
+	// What an earlier play of the seed has left would be taken for a group.
+	if err := os.RemoveAll(cfg.folder); err != nil {
+		return nil, errors.Wrap(err, "remove the logs of an earlier play")
+	}
+	return f, os.MkdirAll(cfg.folder, 0o755)
+}
+
+func (f *fleet) addr(i int, port string) string {
+	return fmt.Sprintf("127.0.0.%d:%d", i+1, f.ports[port])
+}
+
+func (f *fleet) dataFolder(n *node) string {
+	if !n.disk {
+		return ""
+	}
+	return filepath.Join(f.cfg.folder, fmt.Sprintf("data-%d-%d", n.index, n.wipes))
+}
+
+func (f *fleet) settings(n *node) string {
+	var seeds []string
+	for i := range min(3, f.cfg.routers) {
+		seeds = append(seeds, fmt.Sprintf("%q", f.addr(i, "operators")))
+	}
+	return fmt.Sprintf(`name = "router-%d"
+zone = "zone-%d"
+[router]
+callers = %q
+readiness = %q
+operators = %q
+internal = %q
+metrics = %q
+seeds = [%s]
+found = %t
+data-folder = %q
+instance-list = %q
+losses = 1
+stop-timeout = "8s"
+[router.bounds]
+retry-ratio = "0.2"
+retry-slack = "62"
+load-multiple = "2"
+`, n.index, n.index%3, f.addr(n.index, "callers"), f.addr(n.index, "readiness"), f.addr(n.index, "operators"),
+		f.addr(n.index, "internal"), f.addr(n.index, "metrics"), strings.Join(seeds, ", "), n.found, f.dataFolder(n), f.list)
+}
+
+// start starts a router; its log goes on in the same file.
+func (f *fleet) start(n *node) error {
+	path := filepath.Join(f.cfg.folder, fmt.Sprintf("router-%d.toml", n.index))
+	if err := os.WriteFile(path, []byte(f.settings(n)), 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	out, err := os.OpenFile(filepath.Join(f.cfg.folder, fmt.Sprintf("router-%d.log", n.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	cmd := exec.Command(f.cfg.program, "run", "--settings", path)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start router")
+	}
+	done := make(chan error, 1)
+	f.cfg.tasks.Go(func() error {
+		done <- cmd.Wait()
+		return out.Close()
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.cmd, n.done, n.paused, n.stoppedAt = cmd, done, false, time.Time{}
+	n.found = false
+	return nil
+}
+
+// signal signals a router that this fleet started.
+func (f *fleet) signal(n *node, s syscall.Signal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n.cmd == nil {
+		return
+	}
+	if s == syscall.SIGTERM {
+		n.stoppedAt = time.Now()
+	}
+	n.paused = s == syscall.SIGSTOP || n.paused && s != syscall.SIGCONT
+	// A process that has ended already can't be signalled, which is no fault.
+	_ = n.cmd.Process.Signal(s)
+}
+
+// await waits for the end of a router; it is killed after a while.
+func (f *fleet) await(n *node, patience time.Duration) (clean bool) {
+	select {
+	case err := <-n.done:
+		clean = err == nil
+	case <-time.After(patience):
+		f.signal(n, syscall.SIGKILL)
+		<-n.done
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.cmd = nil
+	return clean
+}
+
+// isUp reports whether a router runs and isn't about to stop.
+func (f *fleet) isUp(i int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.nodes[i]
+	return n.cmd != nil && !n.paused && n.stoppedAt.IsZero()
+}
+
+func (f *fleet) stopAll() {
+	for _, n := range f.nodes {
+		f.signal(n, syscall.SIGCONT)
+		f.signal(n, syscall.SIGKILL)
+	}
+	for _, n := range f.nodes {
+		if n.cmd != nil {
+			f.await(n, 5*time.Second)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/bronzerill-soak/main.go
@@ -0,0 +1,76 @@
+// Command bronzerill-soak runs routers as separate processes on one machine,
+// injects faults from outside them, and checks the promises from what callers,
+// servers and operators see.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "bronzerill-soak",
+		Usage: "routers under seeded faults",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Usage: "the router's `FILE`", Value: "target/bronzerill"},
+			&cli.Uint64Flag{Name: "seed", Usage: "first seed", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
+			&cli.DurationFlag{Name: "for", Usage: "time of faults for each seed", Value: 12 * time.Second},
+			&cli.IntFlag{Name: "routers", Value: 5},
+			&cli.IntFlag{Name: "disks", Value: 3},
+			&cli.StringFlag{Name: "keep", Usage: "folder for the logs of failed seeds", Value: "trial/soak"},
+		},
+		Action: run,
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "bronzerill-soak:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	program, err := filepath.Abs(c.String("program"))
+	if err != nil {
+		return errors.Wrap(err, "program")
+	}
+	failed := 0
+	for i := range c.Int("seeds") {
+		seed := c.Uint64("seed") + uint64(i)
+		folder := filepath.Join(c.String("keep"), fmt.Sprintf("seed-%d", seed))
+		faults, report, err := play(ctx, config{
+			program: program, folder: folder, seed: seed,
+			routers: c.Int("routers"), disks: c.Int("disks"), faultTime: c.Duration("for"),
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %s\n", seed, report)
+		if len(faults) == 0 {
+			if err := os.RemoveAll(folder); err != nil {
+				return errors.Wrap(err, "remove logs")
+			}
+			continue
+		}
+		failed++
+		for _, fault := range faults {
+			fmt.Println("  BROKEN:", fault)
+		}
+		fmt.Printf("  again: bronzerill-soak --seed %d --for %s --routers %d --disks %d; logs in %s\n",
+			seed, c.Duration("for"), c.Int("routers"), c.Int("disks"), folder)
+	}
+	fmt.Printf("%d passed, %d failed\n", c.Int("seeds")-failed, failed)
+	if failed > 0 {
+		return errors.Errorf("%d seeds broke a promise", failed)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/bronzerill-soak/play.go
@@ -0,0 +1,367 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// config is one seed's play.
+type config struct {
+	program, folder string
+	seed            uint64
+	routers, disks  int
+	faultTime       time.Duration
+	tasks           *errgroup.Group
+	// disturbedAt is when a process was last disturbed, in Unix nanoseconds.
+	disturbedAt *atomic.Int64
+}
+
+// calmAfter is the time after the last disturbance of a process from which the
+// promises with a time bound hold again.
+const calmAfter = 4 * time.Second
+
+func (c config) calm() bool {
+	return time.Since(time.Unix(0, c.disturbedAt.Load())) > calmAfter
+}
+
+func (c config) disturbed() { c.disturbedAt.Store(time.Now().UnixNano()) }
+
+// play runs one seed and returns the promises that were broken.
+func play(ctx context.Context, cfg config) (faults []string, report string, err error) {
+	cfg.tasks = new(errgroup.Group)
+	cfg.disturbedAt = new(atomic.Int64)
+	w, err := newWorld(cfg)
+	if err != nil {
+		return nil, "", err
+	}
+	f, err := newFleet(cfg, w.listAddr)
+	if err != nil {
+		return nil, "", err
+	}
+	for _, n := range f.nodes {
+		if err := f.start(n); err != nil {
+			return nil, "", err
+		}
+	}
+	o := &operator{fleet: f, world: w}
+	callers, stopCallers := context.WithCancel(ctx)
+	c := &callersOf{fleet: f, world: w}
+	working := new(errgroup.Group)
+	if o.declare(20 * time.Second) {
+		for i := range 8 {
+			random := rand.New(rand.NewPCG(cfg.seed, uint64(100+i)))
+			working.Go(func() error { c.run(callers, random); return nil })
+		}
+		working.Go(func() error { o.run(callers, rand.New(rand.NewPCG(cfg.seed, 50))); return nil })
+		inject(ctx, cfg, f, w)
+		time.Sleep(calmAfter)
+		if served := c.serveSome(); served < 16 {
+			w.broken("only %d of 20 requests are served after the faults", served)
+		}
+	} else {
+		w.broken("no desired state is accepted at the start")
+	}
+	stopCallers()
+	if err := working.Wait(); err != nil {
+		return nil, "", err
+	}
+	o.checkNewest()
+	f.stopAll()
+	w.stop()
+	if err := cfg.tasks.Wait(); err != nil {
+		return nil, "", err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults, fmt.Sprintf("%d answered, %d refused as not run, %d unknown, %d changes", c.answered.Load(), c.refused.Load(), c.unknown.Load(), o.acked.Load()), nil
+}
+
+// inject plays the seed's faults, in series and overlapping.
+func inject(ctx context.Context, cfg config, f *fleet, w *world) {
+	random := rand.New(rand.NewPCG(cfg.seed, 1))
+	group := new(errgroup.Group)
+	busy := make([]atomic.Bool, len(f.nodes))
+	var diskDown atomic.Bool
+	for end := time.Now().Add(cfg.faultTime); time.Now().Before(end) && ctx.Err() == nil; {
+		n := f.nodes[random.IntN(len(f.nodes))]
+		b := w.backends[random.IntN(len(w.backends))]
+		kind, length := random.IntN(9), time.Duration(300+random.IntN(1500))*time.Millisecond
+		group.Go(func() error {
+			if kind >= 5 {
+				disturbServer(kind, b, length)
+				return nil
+			}
+			// One instance with a disk may be lost at a time.
+			if !busy[n.index].CompareAndSwap(false, true) {
+				return nil
+			}
+			defer busy[n.index].Store(false)
+			if n.disk {
+				if !diskDown.CompareAndSwap(false, true) {
+					return nil
+				}
+				defer diskDown.Store(false)
+			}
+			cfg.disturbed()
+			defer cfg.disturbed()
+			return disturbRouter(kind, f, w, n, length)
+		})
+		time.Sleep(time.Duration(100+random.IntN(600)) * time.Millisecond)
+	}
+	if err := group.Wait(); err != nil {
+		w.broken("a router could not be started again: %v", err)
+	}
+	for _, b := range w.backends {
+		b.proxy.silent.Store(0)
+		b.proxy.delay.Store(0)
+	}
+}
+
+// catchUp is the time that a replica has to come back before the next is lost.
+const catchUp = 4 * time.Second
+
+func disturbRouter(kind int, f *fleet, w *world, n *node, length time.Duration) error {
+	switch kind {
+	case 0:
+		f.signal(n, syscall.SIGSTOP)
+		time.Sleep(length)
+		f.signal(n, syscall.SIGCONT)
+		return nil
+	case 1, 2:
+		f.signal(n, syscall.SIGKILL)
+		f.await(n, time.Second)
+		time.Sleep(length)
+	case 3:
+		f.signal(n, syscall.SIGTERM)
+		if !f.await(n, 9*time.Second) {
+			w.broken("router %d did not end cleanly after SIGTERM", n.index)
+		}
+	case 4:
+		f.signal(n, syscall.SIGKILL)
+		f.await(n, time.Second)
+		n.wipes++
+	}
+	err := f.start(n)
+	if n.disk {
+		time.Sleep(catchUp)
+	}
+	return err
+}
+
+func disturbServer(kind int, b *backend, length time.Duration) {
+	switch kind {
+	case 5:
+		b.proxy.resetAll()
+	case 6:
+		b.proxy.delay.Store(int64(length / 8))
+		time.Sleep(length)
+		b.proxy.delay.Store(0)
+	case 7:
+		b.proxy.silent.Store(int32(1 + length.Milliseconds()%2))
+		time.Sleep(length)
+		b.proxy.silent.Store(0)
+	case 8:
+		b.mu.Lock()
+		b.leaving, b.leftAt = true, time.Now()
+		b.mu.Unlock()
+	}
+}
+
+// callersOf sends requests and checks their answers.
+type callersOf struct {
+	fleet                      *fleet
+	world                      *world
+	sent                       atomic.Int64
+	answered, refused, unknown atomic.Int64
+}
+
+func (c *callersOf) run(ctx context.Context, random *rand.Rand) {
+	// Kept connections are used until the process is gone.
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: 6 * time.Second}
+	defer client.CloseIdleConnections()
+	paths := []string{"/once/", "/repeatable/", "/stream/", "/resumable/"}
+	for ctx.Err() == nil {
+		c.one(client, random.IntN(len(c.fleet.nodes)), paths[random.IntN(len(paths))])
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+	}
+}
+
+// serveSome sends requests to routers that are up and counts those served.
+func (c *callersOf) serveSome() int {
+	client := &http.Client{Timeout: 3 * time.Second}
+	defer client.CloseIdleConnections()
+	served := 0
+	for i := range 20 {
+		if router := i % len(c.fleet.nodes); c.fleet.isUp(router) && c.one(client, router, "/once/") {
+			served++
+		}
+	}
+	return served
+}
+
+func (c *callersOf) one(client *http.Client, router int, path string) bool {
+	id := fmt.Sprintf("r%d", c.sent.Add(1))
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.fleet.addr(router, "callers")+path+id, strings.NewReader("body of "+id))
+	if err != nil {
+		return false
+	}
+	// Keeps the client itself from sending a request twice.
+	request.GetBody = nil
+	request.Host = "h"
+	request.Header.Set("X-Bronzerill-Request-Id", id)
+	request.Header.Set("X-Bronzerill-Deadline-Ms", "5000")
+	up, begun := c.fleet.isUp(router), time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		c.unknown.Add(1)
+		return false
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return c.check(router, path, id, response, string(data), err, up && time.Since(begun) < time.Second)
+}
+
+func (c *callersOf) check(router int, path, id string, response *http.Response, body string, err error, up bool) bool {
+	c.world.mu.Lock()
+	runs := c.world.runs[id]
+	c.world.mu.Unlock()
+	repeats := path == "/repeatable/" || path == "/resumable/"
+	if !repeats && runs > 1 {
+		c.world.broken("%s%s ran %d times", path, id, runs)
+	}
+	switch status := response.StatusCode; {
+	case err != nil:
+		c.unknown.Add(1)
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		c.refused.Add(1)
+		if runs > 0 && !repeats {
+			c.world.broken("%s%s was refused with %d and had run", path, id, status)
+		}
+	case status == http.StatusOK:
+		c.answered.Add(1)
+		if response.Header.Get("X-Bronzerill-Response-Stamp") != signature(id, "") || body != wanted(path, id) {
+			c.world.broken("%s%s got a wrong or partial answer of %d bytes as whole", path, id, len(body))
+		}
+		return true
+	case status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
+		c.unknown.Add(1)
+	default:
+		if up {
+			c.world.broken("%s%s got %d from router %d", path, id, status, router)
+		}
+	}
+	return false
+}
+
+func wanted(path, id string) string {
+	if path == "/once/" || path == "/repeatable/" {
+		return "booked " + id
+	}
+	var b strings.Builder
+	for event := 1; event <= eventCount; event++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", event, id)
+	}
+	return b.String()
+}
+
+// operator declares desired states and reads them back.
+type operator struct {
+	fleet *fleet
+	world *world
+	// number is the newest one that was sent; acknowledged the newest that was
+	// acknowledged.
+	number, acknowledged int
+	acked                atomic.Int64
+}
+
+func (o *operator) document() string {
+	var routes []string
+	for _, r := range []struct {
+		path, kind, service string
+		attempts            int
+		resumable           bool
+	}{{"once", "non_idempotent", "desk", 1, false}, {"repeatable", "idempotent", "desk", 2, false}, {"stream", "streaming", "guides", 1, false}, {"resumable", "streaming", "guides", 2, true}} {
+		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":"h","path_prefix":"/%s/","kind":%q,"timeout_ms":5000,"target_latency_ms":300,"gap_target_ms":300,"service":%q,"max_attempts":%d,"resumable":%t,"sticky":false}`,
+			r.path, r.path, r.kind, r.service, r.attempts, r.resumable))
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"guides","health_path":"/health","engine":{"slots":48,"kv_capacity":1000}},{"name":"desk","health_path":"/health"}]}`,
+		o.number, strings.Join(routes, ","))
+}
+
+// declare sends the next desired state until it is acknowledged.
+func (o *operator) declare(patience time.Duration) bool {
+	o.number++
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		for i := range o.fleet.nodes {
+			if status, _, err := o.send(i, http.MethodPut, o.document()); err == nil && status == http.StatusOK {
+				o.acknowledged = o.number
+				o.acked.Add(1)
+				return true
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
+func (o *operator) send(router int, method, body string) (int, string, error) {
+	request, err := http.NewRequest(method, "http://"+o.fleet.addr(router, "operators")+"/v1/config", strings.NewReader(body))
+	if err != nil {
+		return 0, "", errors.Wrap(err, "operator's request")
+	}
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode, string(data), err
+}
+
+func (o *operator) run(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		o.declare(3 * time.Second)
+		o.read(random.IntN(len(o.fleet.nodes)))
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	}
+}
+
+// read checks that a read isn't older than what was acknowledged before it.
+func (o *operator) read(router int) bool {
+	needed := o.acknowledged
+	status, body, err := o.send(router, http.MethodGet, "")
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	var got int
+	if _, err := fmt.Sscanf(body, `{"version":%d,`, &got); err != nil || got < needed {
+		o.world.broken("router %d answers %q after %d was acknowledged", router, body[:min(len(body), 30)], needed)
+	}
+	return true
+}
+
+// checkNewest reads the newest state back from every router.
+func (o *operator) checkNewest() {
+	for i := range o.fleet.nodes {
+		done := false
+		for end := time.Now().Add(8 * time.Second); !done && time.Now().Before(end); {
+			if done = o.read(i); !done {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		if !done {
+			o.world.broken("router %d doesn't read the desired state back", i)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/bronzerill-soak/proxy.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// proxy stands before a server and delays, resets, cuts or silences connections.
+type proxy struct {
+	cfg      config
+	addr     string
+	target   string
+	listener net.Listener
+	// delay is added to each answer, in nanoseconds.
+	delay atomic.Int64
+	// silent connections pass nothing in one direction: 1 to the server, 2 back.
+	silent atomic.Int32
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+}
+
+func newProxy(cfg config, target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	p := &proxy{cfg: cfg, addr: listener.Addr().String(), target: target, listener: listener, conns: make(map[net.Conn]bool)}
+	cfg.tasks.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			cfg.tasks.Go(func() error { p.pass(conn); return nil })
+		}
+	})
+	return p, nil
+}
+
+func (p *proxy) pass(conn net.Conn) {
+	up, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[conn], p.conns[up] = true, true
+	p.mu.Unlock()
+	p.cfg.tasks.Go(func() error { p.copy(up, conn, 1); return nil })
+	p.copy(conn, up, 2)
+	p.mu.Lock()
+	delete(p.conns, conn)
+	delete(p.conns, up)
+	p.mu.Unlock()
+}
+
+func (p *proxy) copy(to, from net.Conn, direction int32) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if direction == 2 {
+			time.Sleep(time.Duration(p.delay.Load()))
+		}
+		for p.silent.Load() == direction {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				err = writeErr
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				p.reset(to)
+			}
+			_ = to.Close()
+			_ = from.Close()
+			return
+		}
+	}
+}
+
+func (p *proxy) reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Without lingering the close is a reset; a closed connection needs none.
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// resetAll resets every connection.
+func (p *proxy) resetAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		p.reset(conn)
+		_ = conn.Close()
+	}
+}
+
+func (p *proxy) close() {
+	p.silent.Store(0)
+	_ = p.listener.Close()
+	p.resetAll()
+}
--- /dev/null
+++ b/cmd/bronzerill-soak/world.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// backend is one stand-in server behind a proxy that misbehaves.
+type backend struct {
+	id, service string
+	web         *http.Server
+	proxy       *proxy
+	mu          sync.Mutex
+	leaving     bool
+	leftAt      time.Time
+}
+
+// world holds the servers and the list, and what servers saw.
+type world struct {
+	cfg      config
+	backends []*backend
+	listWeb  *http.Server
+	listAddr string
+	mu       sync.Mutex
+	// runs counts the runs of each request.
+	runs   map[string]int
+	faults []string
+}
+
+// drainTime is how long after the list shows it a server may still get work.
+const drainTime = 3 * time.Second
+
+func newWorld(cfg config) (*world, error) {
+	w := &world{cfg: cfg, runs: make(map[string]int)}
+	for i := range 6 {
+		service := "guides"
+		if i >= 3 {
+			service = "desk"
+		}
+		b, err := w.startBackend(fmt.Sprintf("i-%d", i), service)
+		if err != nil {
+			return nil, err
+		}
+		w.backends = append(w.backends, b)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	w.listAddr = listener.Addr().String()
+	w.listWeb = &http.Server{Handler: http.HandlerFunc(w.serveList), ReadHeaderTimeout: time.Second}
+	cfg.tasks.Go(func() error { _ = w.listWeb.Serve(listener); return nil })
+	return w, nil
+}
+
+func (w *world) startBackend(id, service string) (*backend, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	b := &backend{id: id, service: service}
+	b.web = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(b, rw, r) }), ReadHeaderTimeout: time.Second}
+	w.cfg.tasks.Go(func() error { _ = b.web.Serve(listener); return nil })
+	b.proxy, err = newProxy(w.cfg, listener.Addr().String())
+	return b, err
+}
+
+func (w *world) broken(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.faults) < 20 {
+		w.faults = append(w.faults, fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) serveList(rw http.ResponseWriter, _ *http.Request) {
+	type entry struct {
+		ID      string `json:"id"`
+		Service string `json:"service"`
+		Address string `json:"address"`
+		Zone    string `json:"zone"`
+		Slots   int    `json:"slots"`
+		State   string `json:"state"`
+	}
+	var entries []entry
+	for i, b := range w.backends {
+		b.mu.Lock()
+		state := "ready"
+		if b.leaving {
+			state = "draining"
+		}
+		b.mu.Unlock()
+		entries = append(entries, entry{b.id, b.service, b.proxy.addr, fmt.Sprintf("zone-%d", i%3), 48, state})
+	}
+	// The fields are plain data, so encoding can't fail.
+	data, _ := json.Marshal(map[string]any{"instances": entries, "next": nil})
+	_, _ = rw.Write(data)
+}
+
+// signature binds an answer to its request and body.
+func signature(id, body string) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id + "|" + body))
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// eventCount is the length of each stream.
+const eventCount = 12
+
+func (w *world) serve(b *backend, rw http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	id := r.Header.Get("X-Bronzerill-Request-Id")
+	if r.Header.Get("X-Bronzerill-Expect-Instance") != b.id {
+		w.broken("request %s for %q reached %s", id, r.Header.Get("X-Bronzerill-Expect-Instance"), b.id)
+		return
+	}
+	b.mu.Lock()
+	late := b.leaving && time.Since(b.leftAt) > drainTime
+	b.mu.Unlock()
+	if late && w.cfg.calm() {
+		w.broken("request %s reached %s over %s after it began to leave", id, b.id, drainTime)
+	}
+	w.mu.Lock()
+	w.runs[id]++
+	w.mu.Unlock()
+	rw.Header().Set("X-Bronzerill-Request-Id", id)
+	rw.Header().Set("X-Bronzerill-Response-Stamp", signature(id, ""))
+	if b.service == "desk" {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(rw, "booked "+id)
+		return
+	}
+	rw.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for event := after + 1; event <= eventCount; event++ {
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", event, id); err != nil {
+			return
+		}
+		_ = http.NewResponseController(rw).Flush()
+		time.Sleep(15 * time.Millisecond)
+	}
+}
+
+func (w *world) stop() {
+	for _, b := range w.backends {
+		b.proxy.close()
+		_ = b.web.Close()
+	}
+	_ = w.listWeb.Close()
+}
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -276,6 +276,9 @@
 	if !leads {
 		return 0, bronzerill.Errorf(bronzerill.KindNotLeader, "this router doesn't lead")
 	}
+	if err := g.isFounded(node); err != nil {
+		return 0, err
+	}
 	value, err := node.Propose(ctx, command)
 	if err != nil {
 		return 0, err
@@ -287,6 +290,20 @@
 	return g.machine.Declared().Revision, result.Err()
 }
 
+// isFounded refuses the first changes until so many voters hold them that the
+// promised losses leave a majority. The founder alone could lose what it has
+// acknowledged.
+func (g *group) isFounded(node *replica.Node) error {
+	if g.machine.Declared().Revision > 0 {
+		return nil
+	}
+	voters, needed := node.Status(time.Now()).Members.Voters(), 2*g.router.settings.Router.Losses+1
+	if voters < needed {
+		return bronzerill.Errorf(bronzerill.KindNoQuorum, "the group has %d of %d voters", voters, needed)
+	}
+	return nil
+}
+
 // Read returns the newest state, at the leader.
 func (g *group) Read(ctx context.Context) (declared.State, error) {
 	node, leads := g.local(time.Now())
--- a/internal/run/router/router_test.go
+++ b/internal/run/router/router_test.go
@@ -89,7 +89,7 @@
 	s := file.Settings{Name: fmt.Sprintf("router-%d", i), Zone: "zone-a", LogLevel: "info", Router: &file.Router{
 		Callers: w.addr(i, "callers"), Readiness: w.addr(i, "readiness"), Operators: w.addr(i, "operators"), Internal: w.addr(i, "internal"),
 		Seeds: seeds, Found: found, DataFolder: folder, InstanceList: w.list.Listener.Addr().String(),
-		StopTimeout: file.Duration{Duration: 8 * time.Second},
+		Losses: 1, StopTimeout: file.Duration{Duration: 8 * time.Second},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	tasks, ctx := errgroup.WithContext(ctx)
@@ -201,6 +201,22 @@
 	w.awaitCall(4, "/d/x", 200)
 }
 
+// TestFounderAloneAcknowledgesNothing starts the founder without the others: what
+// it acknowledged now would be gone with its disk (soak, seed 2).
+func TestFounderAloneAcknowledgesNothing(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		w.order(0, "PUT", "/v1/config", document(5, "/a/"), 503)
+		require.Zero(t, w.routes[0].holder.Revision())
+	}
+	for i := 1; i < 3; i++ {
+		w.routes = append(w.routes, nil)
+		w.stop = append(w.stop, nil)
+		w.start(i, t.TempDir(), true)
+	}
+	w.order(1, "PUT", "/v1/config", document(5, "/a/"), 200)
+}
+
 // TestMinorityAnswersNoRead leaves one replica of three: a read of the desired
 // state must not be answered by what it knows alone, while callers are served.
 func TestMinorityAnswersNoRead(t *testing.T) {
--- a/internal/settings/file/router.go
+++ b/internal/settings/file/router.go
@@ -43,6 +43,8 @@
 	DataFolder string `toml:"data-folder"`
 	// InstanceList is the address of the platform's list of servers.
 	InstanceList string `toml:"instance-list"`
+	// Losses is the number of instances with a disk that may be lost at once.
+	Losses int `toml:"losses"`
 	// StopTimeout is the time between SIGTERM and SIGKILL.
 	StopTimeout Duration `toml:"stop-timeout"`
 	Bounds      Bounds   `toml:"bounds"`
@@ -76,6 +78,7 @@
 	}
 	c.address("router.instance-list", r.InstanceList)
 	c.want(r.StopTimeout.Duration >= minStopTimeout, "router.stop-timeout: want 1s or more")
+	c.want(r.Losses >= 0, "router.losses: want no negative number")
 	c.want(r.Bounds.RetryRatio >= 0 && r.Bounds.RetrySlack >= 0, "router.bounds: want no negative number")
 	c.want(r.Bounds.LoadMultiple == 0 || r.Bounds.LoadMultiple >= 1, "router.bounds.load-multiple: want 1 or more")
 }
