--- a/cmd/bronzerill-soak/main.go
+++ b/cmd/bronzerill-soak/main.go
@@ -22,7 +22,7 @@
 		Name:  "bronzerill-soak",
 		Usage: "routers under seeded faults",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "program", Usage: "the router's `FILE`", Value: "target/bronzerill"},
+			&cli.StringFlag{Name: "program", Usage: "the router's `FILE`", Value: "bin/bronzerill"},
 			&cli.Uint64Flag{Name: "seed", Usage: "first seed", Value: 1},
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.DurationFlag{Name: "for", Usage: "time of faults for each seed", Value: 12 * time.Second},
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,6 +2,6 @@
 # Plays the fault soak. Arguments go to bronzerill-soak, such as --seed 7 --seeds 50.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mkdir -p target
-go build -o target/ ./cmd/bronzerill ./cmd/bronzerill-soak
-exec ./target/bronzerill-soak "$@"
+mkdir -p bin
+go build -o bin/ ./cmd/bronzerill ./cmd/bronzerill-soak
+exec ./bin/bronzerill-soak "$@"
