--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -13,6 +13,9 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"bronzerill/internal/router/declared"
+	"bronzerill/platform/standin"
 )
 
 // config is one seed's play.
@@ -218,8 +221,7 @@
 	// Keeps the client itself from sending a request twice.
 	request.GetBody = nil
 	request.Host = "h"
-	request.Header.Set("X-Bronzerill-Request-Id", id)
-	request.Header.Set("X-Bronzerill-Deadline-Ms", "5000")
+	standin.Ask(request, id, 5*time.Second)
 	up, begun := c.fleet.isUp(router), time.Now()
 	response, err := client.Do(request)
 	if err != nil {
@@ -249,7 +251,7 @@
 		}
 	case status == http.StatusOK:
 		c.answered.Add(1)
-		if response.Header.Get("X-Bronzerill-Response-Stamp") != signature(id, "") || body != wanted(path, id) {
+		if standin.Signature(response) != signature(id, "") || body != wanted(path, id) {
 			c.world.broken("%s%s got a wrong or partial answer of %d bytes as whole", path, id, len(body))
 		}
 		return true
@@ -285,17 +287,21 @@
 }
 
 func (o *operator) document() string {
-	var routes []string
-	for _, r := range []struct {
-		path, kind, service string
-		attempts            int
-		resumable           bool
-	}{{"once", "non_idempotent", "desk", 1, false}, {"repeatable", "idempotent", "desk", 2, false}, {"stream", "streaming", "guides", 1, false}, {"resumable", "streaming", "guides", 2, true}} {
-		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":"h","path_prefix":"/%s/","kind":%q,"timeout_ms":5000,"target_latency_ms":300,"gap_target_ms":300,"service":%q,"max_attempts":%d,"resumable":%t,"sticky":false}`,
-			r.path, r.path, r.kind, r.service, r.attempts, r.resumable))
+	route := func(name, service string, kind declared.Kind, attempts int, resumable bool) declared.Route {
+		return declared.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second,
+			Objective: 300 * time.Millisecond, PauseObjective: 300 * time.Millisecond,
+			MaxAttempts: attempts, Resumable: resumable, Targets: []declared.Target{{Service: service}},
+		}
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"guides","health_path":"/health","engine":{"slots":48,"kv_capacity":1000}},{"name":"desk","health_path":"/health"}]}`,
-		o.number, strings.Join(routes, ","))
+	return standin.Document(declared.Document{
+		Number: uint64(o.number),
+		Routes: []declared.Route{
+			route("once", "desk", declared.Once, 1, false), route("repeatable", "desk", declared.Repeatable, 2, false),
+			route("stream", "guides", declared.Stream, 1, false), route("resumable", "guides", declared.Stream, 2, true),
+		},
+		Services: []declared.Service{{Name: "guides", Engine: &declared.Engine{Slots: 48, CacheTokens: 1000}}, {Name: "desk"}},
+	})
 }
 
 // declare sends the next desired state until it is acknowledged.
@@ -315,7 +321,7 @@
 }
 
 func (o *operator) send(router int, method, body string) (int, string, error) {
-	request, err := http.NewRequest(method, "http://"+o.fleet.addr(router, "operators")+"/v1/config", strings.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+o.fleet.addr(router, "operators")+standin.ConfigPath, strings.NewReader(body))
 	if err != nil {
 		return 0, "", errors.Wrap(err, "operator's request")
 	}
@@ -344,8 +350,7 @@
 	if err != nil || status != http.StatusOK {
 		return false
 	}
-	var got int
-	if _, err := fmt.Sscanf(body, `{"version":%d,`, &got); err != nil || got < needed {
+	if standin.Number(body) < uint64(needed) {
 		o.world.broken("router %d answers %q after %d was acknowledged", router, body[:min(len(body), 30)], needed)
 	}
 	return true
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -12,6 +11,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bronzerill/internal/router/placing"
+	"bronzerill/platform/standin"
 )
 
 // backend is one stand-in server behind a proxy that misbehaves.
@@ -83,27 +85,15 @@
 }
 
 func (w *world) serveList(rw http.ResponseWriter, _ *http.Request) {
-	type entry struct {
-		ID      string `json:"id"`
-		Service string `json:"service"`
-		Address string `json:"address"`
-		Zone    string `json:"zone"`
-		Slots   int    `json:"slots"`
-		State   string `json:"state"`
-	}
-	var entries []entry
+	var servers []placing.Server
 	for i, b := range w.backends {
 		b.mu.Lock()
-		state := "ready"
-		if b.leaving {
-			state = "draining"
-		}
+		servers = append(servers, placing.Server{
+			ID: b.id, Service: b.service, Addr: b.proxy.addr, Zone: fmt.Sprintf("zone-%d", i%3), Slots: 48, Leaving: b.leaving,
+		})
 		b.mu.Unlock()
-		entries = append(entries, entry{b.id, b.service, b.proxy.addr, fmt.Sprintf("zone-%d", i%3), 48, state})
 	}
-	// The fields are plain data, so encoding can't fail.
-	data, _ := json.Marshal(map[string]any{"instances": entries, "next": nil})
-	_, _ = rw.Write(data)
+	_, _ = rw.Write(standin.List(servers))
 }
 
 // signature binds an answer to its request and body.
@@ -120,9 +110,9 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	id := r.Header.Get("X-Bronzerill-Request-Id")
-	if r.Header.Get("X-Bronzerill-Expect-Instance") != b.id {
-		w.broken("request %s for %q reached %s", id, r.Header.Get("X-Bronzerill-Expect-Instance"), b.id)
+	id, meant, after := standin.Asked(r)
+	if meant != b.id {
+		w.broken("request %s for %q reached %s", id, meant, b.id)
 		return
 	}
 	b.mu.Lock()
@@ -134,15 +124,13 @@
 	w.mu.Lock()
 	w.runs[id]++
 	w.mu.Unlock()
-	rw.Header().Set("X-Bronzerill-Request-Id", id)
-	rw.Header().Set("X-Bronzerill-Response-Stamp", signature(id, ""))
+	standin.Sign(rw, id, signature(id, ""))
 	if b.service == "desk" {
 		time.Sleep(20 * time.Millisecond)
 		_, _ = io.WriteString(rw, "booked "+id)
 		return
 	}
 	rw.Header().Set("Content-Type", "text/event-stream")
-	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for event := after + 1; event <= eventCount; event++ {
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", event, id); err != nil {
 			return
