Homes of prompts are told with their age

Cause: routers refreshed each other's belief that a server keeps a prompt, so homes that nobody used never died out. Ruled out: the life time itself (one router alone forgets). Change: the age goes on with the news. TestRoutersDontKeepAHomeAliveByTellingEachOther fails without it.

--- a/internal/router/neighbour/message.go
+++ b/internal/router/neighbour/message.go
@@ -59,6 +59,8 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Prompt   uint64
 	Server   placing.ServerKey
+	// Age is in seconds since the last use.
+	Age uint8
 }
 
 // Seen is the compact form of an observation.
@@ -100,7 +102,7 @@
 func CompactHomes(told []placing.Placement) []Home {
 	homes := make([]Home, len(told))
 	for i, p := range told {
-		homes[i] = Home{Prompt: p.Prompt, Server: p.Server}
+		homes[i] = Home{Prompt: p.Prompt, Server: p.Server, Age: uint8(min(p.Age/time.Second, 255))}
 	}
 	return homes
 }
@@ -109,7 +111,7 @@
 func (d Digest) Placements() []placing.Placement {
 	told := make([]placing.Placement, len(d.Homes))
 	for i, h := range d.Homes {
-		told[i] = placing.Placement{Prompt: h.Prompt, Server: h.Server}
+		told[i] = placing.Placement{Prompt: h.Prompt, Server: h.Server, Age: time.Duration(h.Age) * time.Second}
 	}
 	return told
 }
--- a/internal/router/placing/homes.go
+++ b/internal/router/placing/homes.go
@@ -35,6 +35,8 @@
 type Placement struct {
 	Prompt uint64
 	Server ServerKey
+	// Age is the time since the prompt was last used there.
+	Age time.Duration
 }
 
 // home is one server of a prompt.
@@ -114,18 +116,23 @@
 // Hear notes what a neighbour has told.
 func (h *Homes) Hear(now time.Time, told []Placement) {
 	for _, p := range told {
-		h.note(now, p)
+		// The age goes on with the news, so that routers can't keep a home alive by
+		// telling each other.
+		h.note(now.Add(-p.Age), p)
 	}
 }
 
-// note returns true for a home that wasn't known.
-func (h *Homes) note(now time.Time, p Placement) bool {
+// note takes a use at the given time and returns true for a home that wasn't
+// known.
+func (h *Homes) note(usedAt time.Time, p Placement) bool {
 	list, _ := h.prompts.Get(p.Prompt)
 	oldest := 0
 	for i := range list {
 		if list[i].server == p.Server {
-			fresh := now.Sub(list[i].usedAt) < homeLifetime
-			list[i].usedAt = now
+			fresh := usedAt.Sub(list[i].usedAt) < homeLifetime
+			if usedAt.After(list[i].usedAt) {
+				list[i].usedAt = usedAt
+			}
 			return !fresh
 		}
 		if list[i].usedAt.Before(list[oldest].usedAt) {
@@ -133,10 +140,10 @@
 		}
 	}
 	if len(list) >= maxHomes {
-		list[oldest] = home{p.Server, now}
+		list[oldest] = home{p.Server, usedAt}
 		return true
 	}
-	h.prompts.Add(p.Prompt, append(list, home{p.Server, now}))
+	h.prompts.Add(p.Prompt, append(list, home{p.Server, usedAt}))
 	return true
 }
 
@@ -173,8 +180,8 @@
 		list, _ := h.prompts.Peek(prompt)
 		for _, home := range list {
 			// Only what was used lately, so that stale homes die out.
-			if now.Sub(home.usedAt) < homeLifetime/4 {
-				told = append(told, Placement{prompt, home.server})
+			if age := now.Sub(home.usedAt); age < homeLifetime/4 {
+				told = append(told, Placement{prompt, home.server, age})
 			}
 		}
 	}
--- a/internal/router/placing/homes_test.go
+++ b/internal/router/placing/homes_test.go
@@ -66,7 +66,7 @@
 func TestNewEntryLearnsHomesInTurn(t *testing.T) {
 	a, b := NewHomes(), NewHomes()
 	for prompt := range uint64(500) {
-		a.Place(start, Placement{prompt, 1})
+		a.Place(start, Placement{Prompt: prompt, Server: 1})
 	}
 	now := start.Add(5 * time.Second)
 	for range 60 {
@@ -79,15 +79,29 @@
 
 func TestUnusedHomesDieOut(t *testing.T) {
 	h := NewHomes()
-	h.Place(start, Placement{1, 7})
+	h.Place(start, Placement{Prompt: 1, Server: 7})
 	require.Empty(t, h.Get(start.Add(homeLifetime), 1))
 }
 
 func TestDigestsStayBounded(t *testing.T) {
 	h := NewHomes()
 	for prompt := range uint64(100_000) {
-		h.Place(start, Placement{prompt, 1})
+		h.Place(start, Placement{Prompt: prompt, Server: 1})
 	}
 	require.LessOrEqual(t, len(h.Tell(start)), maxTold+refreshed*maxHomes)
 	require.LessOrEqual(t, h.prompts.Len(), maxPrompts)
 }
+
+// TestRoutersDontKeepAHomeAliveByTellingEachOther answers prompts that nobody asks
+// for any more: servers drop them, so the directory must.
+func TestRoutersDontKeepAHomeAliveByTellingEachOther(t *testing.T) {
+	a, b := NewHomes(), NewHomes()
+	a.Place(start, Placement{Prompt: 1, Server: 7})
+	for at := time.Duration(0); at < 2*homeLifetime; at += 200 * time.Millisecond {
+		now := start.Add(at)
+		b.Hear(now, a.Tell(now))
+		a.Hear(now, b.Tell(now))
+	}
+	require.Empty(t, a.Get(start.Add(2*homeLifetime), 1))
+	require.Empty(t, b.Get(start.Add(2*homeLifetime), 1))
+}
--- a/internal/router/placing/pick.go
+++ b/internal/router/placing/pick.go
@@ -65,7 +65,7 @@
 		r.own++
 		if q.Service.Engine && q.Affinity != 0 {
 			choice.KeptAt = t.keptAt(now, q, r)
-			t.homes.Place(now, Placement{q.Affinity, r.key})
+			t.homes.Place(now, Placement{Prompt: q.Affinity, Server: r.key})
 		}
 		return choice, nil
 	}
