--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -343,7 +343,7 @@
 		} else if addr, _ := g.leader(now); addr != "" && addr != g.router.settings.Router.Internal {
 			err = there(addr)
 		}
-		if kind := bronzerill.KindOf(err); err == nil || kind != bronzerill.KindNotLeader && kind != bronzerill.KindNoQuorum && kind != bronzerill.KindInternal && kind != bronzerill.KindTableFull {
+		if !mayPass(err) {
 			return err
 		}
 		select {
@@ -354,6 +354,15 @@
 	return bronzerill.Errorf(bronzerill.KindNoQuorum, "%v", err)
 }
 
+// mayPass reports whether an error may be gone at the next try or leader.
+func mayPass(err error) bool {
+	switch bronzerill.KindOf(err) {
+	case bronzerill.KindNotLeader, bronzerill.KindNoQuorum, bronzerill.KindInternal, bronzerill.KindTableFull:
+		return true
+	}
+	return false
+}
+
 // watchedMachine tells the router of each change of the declared state.
 type watchedMachine struct {
 	*state.Machine
