A router whose disk fails goes on serving callers

Ruled out: trying the write again (nobody knows what the disk holds). Change: the replica alone stops, and starts again from its folder after a second. Test: TestRouterWithoutItsDiskServes (before, the process ended with the replica's error).

--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -30,6 +31,9 @@
 	foundInterval = 100 * time.Millisecond
 	// retryPause is the pause before an order is tried at the next leader.
 	retryPause = 50 * time.Millisecond
+	// replicaPause is the pause before a replica is started again after an error of
+	// its disk.
+	replicaPause = time.Second
 	// leaderless is the silence after which a replica asks to join again: it may
 	// have been replaced while it was away.
 	leaderless = 1500 * time.Millisecond
@@ -69,7 +73,7 @@
 	if g.router.settings.Router.DataFolder == "" {
 		return nil
 	}
-	tasks.Go(func() error { return g.runReplica(ctx, tasks) })
+	tasks.Go(func() error { return g.keepReplica(ctx) })
 	return nil
 }
 
@@ -92,9 +96,35 @@
 	return g.node
 }
 
+// keepReplica runs the replica, and starts it again from its folder after an error
+// of the disk. Meanwhile the router serves callers as one without a disk.
+func (g *group) keepReplica(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := g.runReplica(ctx)
+		g.mu.Lock()
+		g.node = nil
+		g.mu.Unlock()
+		if ctx.Err() != nil {
+			return nil
+		}
+		g.router.log.Error("disk lost", "folder", g.router.settings.Router.DataFolder, "error", fmt.Sprint(err))
+		select {
+		case <-ctx.Done():
+		case <-time.After(replicaPause):
+		}
+	}
+	return nil
+}
+
 // runReplica opens the data folder, founding the group or preparing to join it
-// when the folder is empty, and runs the replica.
-func (g *group) runReplica(ctx context.Context, tasks *errgroup.Group) error {
+// when the folder is empty, and runs the replica until its disk fails.
+func (g *group) runReplica(ctx context.Context) error {
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error { return g.openReplica(ctx, tasks) })
+	return tasks.Wait()
+}
+
+func (g *group) openReplica(ctx context.Context, tasks *errgroup.Group) error {
 	folder := g.router.settings.Router.DataFolder
 	store, err := replica.OpenStore(folder)
 	if errors.Is(err, replica.ErrNoData) {
@@ -128,7 +158,7 @@
 	g.mu.Unlock()
 	g.router.log.Info("replica started", "replica", node.Name(), "applied", node.Status(time.Now()).Applied)
 	tasks.Go(func() error {
-		return ticker.Every(ctx, joinInterval, func(ctx context.Context) { g.keepJoined(ctx, time.Now()) })
+		return ticker.Every(ctx, joinInterval, func(ctx context.Context) { g.keepJoined(ctx, node, time.Now()) })
 	})
 	err = node.Run(ctx)
 	if closeErr := store.Close(); err == nil {
@@ -207,8 +237,7 @@
 }
 
 // keepJoined asks to join until the replica is a voter that hears a leader.
-func (g *group) keepJoined(ctx context.Context, now time.Time) {
-	node := g.replica()
+func (g *group) keepJoined(ctx context.Context, node *replica.Node, now time.Time) {
 	status := node.Status(now)
 	if status.Leader != "" {
 		g.followed = now
--- a/internal/run/router/router_test.go
+++ b/internal/run/router/router_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -216,6 +218,24 @@
 	w.order(1, "PUT", "/v1/config", document(5, "/a/"), 200)
 }
 
+// TestRouterWithoutItsDiskServes answers a disk that refuses writes: the router
+// serves callers, and its replica comes back with the disk.
+func TestRouterWithoutItsDiskServes(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.order(0, "PUT", "/v1/config", document(5, "/a/"), 200)
+	obstacle := filepath.Join(t.TempDir(), "disk")
+	require.NoError(t, os.WriteFile(obstacle, nil, 0o600))
+	w.routes = append(w.routes, nil)
+	w.stop = append(w.stop, nil)
+	w.start(3, filepath.Join(obstacle, "data"), false)
+	w.awaitCall(3, "/a/x", 200)
+	time.Sleep(2 * replicaPause)
+	require.Equal(t, 200, w.call(3, "/a/x"))
+	require.Equal(t, 5, number(t, w.order(3, "GET", "/v1/config", "", 200)))
+	require.NoError(t, os.Remove(obstacle))
+	w.awaitVoters(3, 4)
+}
+
 // TestMinorityAnswersNoRead leaves one replica of three: a read of the desired
 // state must not be answered by what it knows alone, while callers are served.
 func TestMinorityAnswersNoRead(t *testing.T) {
