The collector knows the instance's memory limit

Change: soft memory limit of 40% of the instance's memory (setting router.memory-mb); a long request's buffer is made once.

--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -225,7 +225,8 @@
 func (s *sending) run(request *http.Request) {
 	defer close(s.done)
 	var buffer bytes.Buffer
-	buffer.Grow(asyncBody)
+	// Once, since growing a long request by doubling costs three times its size.
+	buffer.Grow(asyncBody + int(request.ContentLength))
 	// Writing to memory fails only for a request that can't be encoded.
 	if s.err = request.Write(&buffer); s.err == nil {
 		_, s.err = s.counted.Write(buffer.Bytes())
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,6 +34,9 @@
 const (
 	// houseInterval is the pause between rounds of upkeep.
 	houseInterval = 250 * time.Millisecond
+	// heapPercent of the memory is what the heap may grow to before garbage is
+	// collected more often; the rest is for sockets and what the heap lags.
+	heapPercent = 40
 	// reloadInterval is the pause between looks at the settings file, which may
 	// change without a signal.
 	reloadInterval = time.Second
@@ -63,6 +67,9 @@
 // Run runs a router until SIGTERM. It returns nil after a graceful stop.
 func Run(ctx context.Context, s file.Settings, path string, adapter platform.Adapter) error {
 	signal.Ignore(syscall.SIGPIPE)
+	if limit := s.Router.MemoryMB; limit > 0 {
+		debug.SetMemoryLimit(int64(limit) << 20 * heapPercent / 100)
+	}
 	stop, cancelStop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancelStop()
 	reload := make(chan os.Signal, 1)
--- a/internal/settings/file/router.go
+++ b/internal/settings/file/router.go
@@ -45,6 +45,8 @@
 	InstanceList string `toml:"instance-list"`
 	// Losses is the number of instances with a disk that may be lost at once.
 	Losses int `toml:"losses"`
+	// MemoryMB is the memory after which the process is killed, 0 for no limit.
+	MemoryMB int `toml:"memory-mb"`
 	// StopTimeout is the time between SIGTERM and SIGKILL.
 	StopTimeout Duration `toml:"stop-timeout"`
 	Bounds      Bounds   `toml:"bounds"`
@@ -78,6 +80,7 @@
 	}
 	c.address("router.instance-list", r.InstanceList)
 	c.want(r.StopTimeout.Duration >= minStopTimeout, "router.stop-timeout: want 1s or more")
+	c.want(r.MemoryMB >= 0, "router.memory-mb: want no negative number")
 	c.want(r.Losses >= 0, "router.losses: want no negative number")
 	c.want(r.Bounds.RetryRatio >= 0 && r.Bounds.RetrySlack >= 0, "router.bounds: want no negative number")
 	c.want(r.Bounds.LoadMultiple == 0 || r.Bounds.LoadMultiple >= 1, "router.bounds.load-multiple: want 1 or more")
