Engines are asked what they keep when all routers restarted; a restart compiles one state

Cause: the directory of warm prompts is soft state of the routers. After a power loss of all of them the hash decides, so prompts are read again (84 to 100 ms of an engine each) in the very seconds in which callers come back.

Ruled out: the engines' memory being lost (they keep it); the list being late (it is read within 30 ms of the start).

Change: the router that started first asks each engine once (Adapter.Kept), the others fetch its directory (Neighbour.Directory), as does a router that joins later. The holder compiles the newest state in a task of its own and passes over the rest.

TestEarlyAnswerOfALongRequest failed once beside load: its server could read the whole request before the client was done, and then the connection may be kept. The server now waits for the client; the check stays.

--- a/internal/router/neighbour/call.go
+++ b/internal/router/neighbour/call.go
@@ -68,6 +68,12 @@
 	Detail string
 }
 
+// DirectoryRequest asks which prompts servers keep.
+type DirectoryRequest struct{}
+
+// DirectoryReply carries all that the router knows of it.
+type DirectoryReply struct{ Directory placing.Directory }
+
 // FoundRequest asks for the right to found the group.
 type FoundRequest struct{ Name, Addr string }
 
@@ -82,6 +88,7 @@
 	Read(ctx context.Context) (declared.State, error)
 	Join(ctx context.Context, r JoinRequest) error
 	Found(r FoundRequest) bool
+	Directory(now time.Time) placing.Directory
 }
 
 // RPC is the net/rpc face of a Desk.
@@ -144,6 +151,12 @@
 	return nil
 }
 
+// Directory returns which prompts servers keep.
+func (r *RPC) Directory(_ *DirectoryRequest, out *DirectoryReply) error {
+	out.Directory = r.desk.Directory(r.clock())
+	return nil
+}
+
 // Found grants the founding of the group once.
 func (r *RPC) Found(in *FoundRequest, out *FoundReply) error {
 	out.Granted = r.desk.Found(*in)
--- a/internal/router/neighbour/message.go
+++ b/internal/router/neighbour/message.go
@@ -52,6 +52,9 @@
 	Homes []Home
 	// Suspects are requests that crash servers, with the sender's counts.
 	Suspects []placing.Suspicion
+	// Informed is set once the sender knows which prompts servers keep, as far as
+	// any router or server knows it.
+	Informed bool
 }
 
 // Home is the compact form of a placement.
--- a/internal/router/neighbour/table.go
+++ b/internal/router/neighbour/table.go
@@ -37,6 +37,7 @@
 	term     uint64
 	listAt   time.Time
 	listSum  uint64
+	informed bool
 }
 
 // Table holds the routers that this one knows.
@@ -85,6 +86,7 @@
 	p.leader = d.Leader
 	p.term = d.Term
 	p.listSum = d.ListSum
+	p.informed = d.Informed
 	p.listAt = time.Time{}
 	if d.ListAge >= 0 {
 		p.listAt = now.Add(-d.ListAge)
@@ -147,6 +149,23 @@
 	return rank
 }
 
+// Juniority returns the number of routers alive that started before this one. By
+// clocks that may differ; it only decides who goes first.
+func (t *Table) Juniority(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := 0
+	for name, p := range t.peers {
+		if now.Sub(p.heardAt) >= aliveFor {
+			continue
+		}
+		if p.Started < t.self.Started || p.Started == t.self.Started && name < t.self.Name {
+			before++
+		}
+	}
+	return before
+}
+
 // Targets returns the addresses that get the next round of digests.
 func (t *Table) Targets(now time.Time, whole bool) []string {
 	t.mu.Lock()
@@ -239,6 +258,12 @@
 	return addr, term
 }
 
+// Informed returns the addresses of routers alive that know which prompts servers
+// keep, in order.
+func (t *Table) Informed(now time.Time) []string {
+	return t.best(now, func(p *known) bool { return p.informed }, func(a, b *known) bool { return a.Addr < b.Addr })
+}
+
 // Alive returns the number of routers heard lately.
 func (t *Table) Alive(now time.Time) int {
 	t.mu.Lock()
--- a/internal/router/neighbour/table_test.go
+++ b/internal/router/neighbour/table_test.go
@@ -92,6 +92,31 @@
 	require.Equal(t, 0, table.Rank(start.Add(aliveFor)))
 }
 
+// TestFirstStartedGoesFirst answers a start of all routers at once: by the time
+// that the state is known, those who started first know most of the others.
+func TestFirstStartedGoesFirst(t *testing.T) {
+	table := NewTable(Peer{Name: "m", Addr: "m:1", Started: 5}, nil, 1)
+	require.Zero(t, table.Juniority(start))
+	for name, started := range map[string]int64{"a": 5, "z": 5, "b": 9, "y": 2} {
+		d := digest(name, 1)
+		d.From.Started = started
+		table.Receive(start, d)
+	}
+	require.Equal(t, 2, table.Juniority(start), "a by its name, y by its start")
+	require.Zero(t, table.Juniority(start.Add(aliveFor)))
+}
+
+func TestInformedRoutersAreAsked(t *testing.T) {
+	table := newTable()
+	for _, name := range []string{"a", "b"} {
+		d := digest(name, 1)
+		d.Informed = name == "b"
+		table.Receive(start, d)
+	}
+	require.Equal(t, []string{"b:1"}, table.Informed(start))
+	require.Empty(t, table.Informed(start.Add(aliveFor)))
+}
+
 // TestSilentRoutersStillCount answers a cut between routers: budgets are shared
 // among all that may be at work on the other side.
 func TestSilentRoutersStillCount(t *testing.T) {
--- a/internal/router/placing/homes.go
+++ b/internal/router/placing/homes.go
@@ -57,6 +57,8 @@
 	news []news
 	// next is where the refreshing of older homes goes on.
 	next int
+	// kept holds what engines said themselves when they were asked.
+	kept map[ServerKey]kept
 }
 
 type news struct {
@@ -69,7 +71,7 @@
 	// The size is above 0, so no error is possible.
 	prompts, _ := lru.New[uint64, []home](maxPrompts)
 	rates, _ := lru.New[uint64, rate](maxRates)
-	return &Homes{prompts: prompts, rates: rates}
+	return &Homes{prompts: prompts, rates: rates, kept: make(map[ServerKey]kept)}
 }
 
 // rate is a decayed count of requests.
@@ -100,7 +102,7 @@
 			servers = append(servers, home.server)
 		}
 	}
-	return servers
+	return h.said(now, prompt, servers)
 }
 
 // Place notes that a prompt was sent to a server by this router.
@@ -149,6 +151,7 @@
 
 // Forget drops a server that has lost its memory.
 func (h *Homes) Forget(server ServerKey) {
+	delete(h.kept, server)
 	for _, prompt := range h.prompts.Keys() {
 		list, _ := h.prompts.Peek(prompt)
 		kept := make([]home, 0, len(list))
--- a/internal/router/server/client_test.go
+++ b/internal/router/server/client_test.go
@@ -251,6 +251,7 @@
 	defer func() { _ = listener.Close() }()
 	var group errgroup.Group
 	rest := make(chan []byte, 1)
+	answered := make(chan struct{})
 	group.Go(func() error {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -263,6 +264,9 @@
 			return err
 		}
 		send(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+		// Reading on any sooner could let the whole request through before the
+		// client is done with the answer; then its connection may be kept.
+		<-answered
 		data, _ := io.ReadAll(request.Body)
 		rest <- data
 		return nil
@@ -275,6 +279,7 @@
 	body, err := read(t, answer)
 	require.NoError(t, err)
 	require.Equal(t, "no", body)
+	close(answered)
 	require.NotContains(t, string(<-rest), "POST")
 	require.Empty(t, c.pool.idle[long.Addr], "the request was not sent whole, so its connection isn't kept")
 	require.NoError(t, group.Wait())
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -299,6 +299,9 @@
 	return list, now.Sub(readAt), !readAt.IsZero()
 }
 
+// Directory returns which prompts servers keep.
+func (g *group) Directory(now time.Time) placing.Directory { return g.router.servers.Directory(now) }
+
 // Propose replicates a command, at the leader.
 func (g *group) Propose(ctx context.Context, command []byte) (uint64, error) {
 	node, leads := g.local(time.Now())
--- a/internal/run/router/holder.go
+++ b/internal/run/router/holder.go
@@ -21,16 +21,25 @@
 	servers *placing.Table
 	log     hclog.Logger
 	mu      sync.Mutex
-	state   declared.State
-	table   atomic.Pointer[declared.Table]
-	// document is decoded from the state's source.
+	// state is the newest state, and source is where it came from.
+	state  declared.State
+	source string
+	// table is compiled from the state a moment later.
+	table atomic.Pointer[declared.Table]
+	// fresh holds a token while the newest state isn't compiled.
+	fresh chan struct{}
+	// document and compiled belong to the task that compiles.
 	document declared.Document
+	compiled declared.State
 	wanted   chan string
 	changed  func()
 }
 
 func newHolder(adapter platform.Adapter, servers *placing.Table, log hclog.Logger) *holder {
-	return &holder{adapter: adapter, servers: servers, log: log, wanted: make(chan string, 1), changed: func() {}}
+	return &holder{
+		adapter: adapter, servers: servers, log: log,
+		fresh: make(chan struct{}, 1), wanted: make(chan string, 1), changed: func() {},
+	}
 }
 
 // Table returns the compiled state, nil before there is one.
@@ -46,14 +55,48 @@
 // Revision returns the state's revision.
 func (h *holder) Revision() uint64 { return h.State().Revision }
 
-// update takes a state of a higher revision.
+// update takes a state of a higher revision. It is compiled by another task, which
+// passes over states that are already replaced: a replica that starts again runs
+// through all states since its snapshot.
 func (h *holder) update(next declared.State, source string) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if next.Revision <= h.state.Revision {
+	newer := next.Revision > h.state.Revision
+	if newer {
+		h.state, h.source = next, source
+	}
+	h.mu.Unlock()
+	if !newer {
+		return
+	}
+	select {
+	case h.fresh <- struct{}{}:
+	default:
+		// The task will see this state too.
+	}
+	h.changed()
+}
+
+// runCompile compiles each newest state.
+func (h *holder) runCompile(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.fresh:
+			h.compile()
+		}
+	}
+}
+
+// compile puts the newest state in force.
+func (h *holder) compile() {
+	h.mu.Lock()
+	next, source := h.state, h.source
+	h.mu.Unlock()
+	before := h.compiled
+	if next.Revision <= before.Revision {
 		return
 	}
-	before := h.state
 	if next.Number != before.Number {
 		document, err := h.adapter.Document(next.Source)
 		if err != nil {
@@ -63,7 +106,7 @@
 		}
 		h.document = document
 	}
-	h.state = next
+	h.compiled = next
 	if next.Number > 0 {
 		h.table.Store(declared.NewTable(h.document, next.ZonesOut))
 	}
@@ -73,8 +116,7 @@
 		}
 	}
 	h.log.Info("declared state taken", "revision", next.Revision, "number", next.Number,
-		"before", before.Number, "zones-out", next.ZonesOut, "from", source)
-	h.changed()
+		"before", before.Number, "passed-over", next.Revision-before.Revision-1, "zones-out", next.ZonesOut, "from", source)
 }
 
 // fetchFrom asks for the state of a router that has a newer one.
@@ -86,8 +128,8 @@
 	}
 }
 
-// run fetches states from other routers.
-func (h *holder) run(ctx context.Context, r *Router) error {
+// runFetch fetches states from other routers.
+func (h *holder) runFetch(ctx context.Context, r *Router) error {
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/run/router/holder_test.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"bronzerill/internal/router/declared"
+	"bronzerill/internal/router/placing"
+	"bronzerill/platform"
+)
+
+func newTestHolder(log hclog.Logger) *holder {
+	servers := placing.NewTable(placing.Config{Entry: "a", Zone: "zone-a", Seed: 1})
+	return newHolder(platform.Adapter{}, servers, log)
+}
+
+func held(revision uint64, number int, prefix string) declared.State {
+	return declared.State{Revision: revision, Number: uint64(number), Source: []byte(document(number, prefix))}
+}
+
+// TestRestartCompilesOnlyTheNewestState answers a replica that starts again after
+// many changes: it runs through all of them before callers are served.
+func TestRestartCompilesOnlyTheNewestState(t *testing.T) {
+	var out bytes.Buffer
+	h := newTestHolder(hclog.New(&hclog.LoggerOptions{Output: &out, JSONFormat: true}))
+	for revision := range uint64(300) {
+		h.update(held(revision+1, int(revision)+1, "/a/"), "log")
+	}
+	require.EqualValues(t, 300, h.Revision(), "other routers may fetch it at once")
+	h.compile()
+	require.EqualValues(t, 300, h.Table().Number)
+	require.Equal(t, 1, bytes.Count(out.Bytes(), []byte("declared state taken")))
+}
+
+func TestStateNeverGoesBack(t *testing.T) {
+	h := newTestHolder(hclog.NewNullLogger())
+	h.update(held(2, 9, "/b/"), "log")
+	h.compile()
+	h.update(held(1, 5, "/a/"), "router")
+	h.compile()
+	require.EqualValues(t, 9, h.Table().Number)
+	_, found := h.Table().Route("h", "/b/x")
+	require.True(t, found)
+}
+
+func TestZoneThatComesBackIsTakenForCold(t *testing.T) {
+	h := newTestHolder(hclog.NewNullLogger())
+	now := time.Now()
+	h.servers.SetList(now, now, []placing.Server{{ID: "i-1", Service: "guides", Addr: "10.0.0.1:80", Zone: "zone-a", Slots: 48}})
+	out := held(1, 5, "/a/")
+	out.ZonesOut = []string{"zone-a"}
+	h.update(out, "log")
+	h.compile()
+	require.True(t, h.Table().IsZoneOut("zone-a"))
+	h.update(held(2, 5, "/a/"), "log")
+	h.compile()
+	require.False(t, h.Table().IsZoneOut("zone-a"))
+	choice, err := h.servers.Pick(now, placing.Query{
+		Service: placing.Service{Name: "guides", ColdPerSecond: 20, Engine: true}, ZoneOut: h.Table().IsZoneOut,
+	})
+	require.NoError(t, err)
+	require.True(t, choice.Cold)
+}
--- /dev/null
+++ b/internal/run/router/informer.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bronzerill/internal/router/declared"
+	"bronzerill/internal/router/neighbour"
+	"bronzerill/internal/router/placing"
+)
+
+// Timing and bounds of informing a router that has just started.
+const (
+	// informTick is the pause between looks for someone who knows.
+	informTick = 20 * time.Millisecond
+	// settle is how long after its start a router waits for digests of others
+	// before it takes its turn at the engines: two rounds of digests.
+	settle = 200 * time.Millisecond
+	// informStep is added for each router that started before this one, so that
+	// one asks the engines and the others ask that one.
+	informStep = 150 * time.Millisecond
+	// maxInformWait bounds the wait for one's turn.
+	maxInformWait = time.Second
+	// engineTimeout bounds one engine's answer.
+	engineTimeout = 500 * time.Millisecond
+	// enginesAtOnce bounds the engines that are asked side by side.
+	enginesAtOnce = 8
+)
+
+// informer learns which prompts the engines keep. That is soft state of all
+// routers together; when all of them were down at once, the engines still know.
+type informer struct {
+	router    *Router
+	client    *http.Client
+	informed  atomic.Bool
+	startedAt time.Time
+	// ableAt is when this router first knew state and list, zero before.
+	ableAt time.Time
+}
+
+func newInformer(now time.Time, r *Router) *informer {
+	return &informer{router: r, startedAt: now, client: &http.Client{
+		Timeout: engineTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+	}}
+}
+
+func (i *informer) run(ctx context.Context) error {
+	tick := time.NewTicker(informTick)
+	defer tick.Stop()
+	for !i.informed.Load() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			i.look(ctx, time.Now())
+		}
+	}
+	return nil
+}
+
+// look asks a router that knows, or the engines if it is this router's turn.
+func (i *informer) look(ctx context.Context, now time.Time) {
+	r := i.router
+	table := r.holder.Table()
+	if _, listed := r.servers.ListAge(now); table == nil || !listed {
+		return
+	}
+	if i.ableAt.IsZero() {
+		i.ableAt = now
+	}
+	if informed := r.peers.Informed(now); len(informed) > 0 {
+		i.askRouter(ctx, informed[0])
+		return
+	}
+	turn := min(maxInformWait, time.Duration(r.peers.Juniority(now))*informStep)
+	if now.Sub(i.startedAt) >= settle && now.Sub(i.ableAt) >= turn {
+		i.askEngines(ctx, now, table)
+	}
+}
+
+func (i *informer) askRouter(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, neighbour.CallTimeout)
+	defer cancel()
+	var reply neighbour.DirectoryReply
+	if err := i.router.clients.Call(ctx, addr, "Directory", &neighbour.DirectoryRequest{}, &reply); err != nil {
+		i.router.log.Warn("directory of prompts not fetched", "from", addr, "error", err.Error())
+		return
+	}
+	i.take(reply.Directory, addr, 0)
+}
+
+// askEngines asks every engine that takes work. Those that don't answer are left
+// out: their prompts are learned as requests are placed there.
+func (i *informer) askEngines(ctx context.Context, now time.Time, table *declared.Table) {
+	isEngine := func(name string) bool {
+		service, ok := table.Service(name)
+		return ok && service.Engine != nil
+	}
+	var (
+		mu     sync.Mutex
+		d      placing.Directory
+		failed int
+		tasks  errgroup.Group
+	)
+	tasks.SetLimit(enginesAtOnce)
+	for _, engine := range i.router.servers.Engines(now, isEngine, table.IsZoneOut) {
+		tasks.Go(func() error {
+			parts, broken, err := i.router.adapter.Kept(ctx, i.client, engine.Addr)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed++
+				i.router.log.Warn("engine not asked for its prompts", "server", engine.ID, "error", err.Error())
+				return nil
+			}
+			if broken > 0 {
+				i.router.log.Warn("engine's prompts partly unreadable", "server", engine.ID, "broken-entries", broken)
+			}
+			d.Kept = append(d.Kept, placing.NewKept(placing.KeyOf(engine.ID), parts))
+			return nil
+		})
+	}
+	// The tasks report their errors in the log.
+	_ = tasks.Wait()
+	i.take(d, "engines", failed)
+}
+
+func (i *informer) take(d placing.Directory, source string, failed int) {
+	i.router.servers.TakeDirectory(time.Now(), d)
+	i.informed.Store(true)
+	prompts := 0
+	for _, k := range d.Kept {
+		prompts += len(k.Prompts)
+	}
+	i.router.log.Info("directory of prompts taken", "from", source, "homes", len(d.Homes), "engines", len(d.Kept), "kept-prompts", prompts, "engines-failed", failed)
+}
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -57,6 +57,7 @@
 	holder   *holder
 	group    *group
 	list     *poller
+	prompts  *informer
 	// callers is the port for callers.
 	callers  *http.Server
 	stopping atomic.Bool
@@ -134,6 +135,7 @@
 	}
 	r.holder.changed = r.gossip.Prompt
 	r.list = newPoller(r)
+	r.prompts = newInformer(now, r)
 	r.group = newGroup(r, secret)
 	r.handler = caller.NewHandler(caller.Config{
 		Dialect: adapter, Servers: r.servers, Client: r.client, Routes: r.holder.Table, Clock: time.Now, Log: log,
@@ -184,8 +186,10 @@
 		return err
 	}
 	tasks.Go(func() error { return r.gossip.Run(ctx) })
-	tasks.Go(func() error { return r.holder.run(ctx, r) })
+	tasks.Go(func() error { return r.holder.runCompile(ctx) })
+	tasks.Go(func() error { return r.holder.runFetch(ctx, r) })
 	tasks.Go(func() error { return r.list.run(ctx) })
+	tasks.Go(func() error { return r.prompts.run(ctx) })
 	tasks.Go(func() error { return ticker.Every(ctx, houseInterval, r.keepHouse) })
 	return r.startWeb(ctx, tasks)
 }
@@ -213,6 +217,7 @@
 	d.Revision = r.holder.Revision()
 	d.Leader, d.Term = r.group.leader(now)
 	d.ListAge, d.ListSum = r.list.age(now)
+	d.Informed = r.prompts.informed.Load()
 	*d = d.WithObservations(r.servers.Observations(now))
 	if d.Whole {
 		d.Homes = neighbour.CompactHomes(r.servers.Tell(now))
--- a/internal/run/router/router_test.go
+++ b/internal/run/router/router_test.go
@@ -33,9 +33,13 @@
 	list   *httptest.Server
 	server *httptest.Server
 	asked  atomic.Int32
-	ports  map[string]int
-	stop   []func()
-	routes []*Router
+	// engine is a model engine; keptAsked counts how often it was asked what it
+	// keeps.
+	engine    *httptest.Server
+	keptAsked atomic.Int32
+	ports     map[string]int
+	stop      []func()
+	routes    []*Router
 }
 
 func freePort(t *testing.T) int {
@@ -57,8 +61,16 @@
 		_, _ = io.WriteString(rw, "answer")
 	}))
 	t.Cleanup(w.server.Close)
+	w.engine = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/kv-list" {
+			w.keptAsked.Add(1)
+		}
+		_, _ = io.WriteString(rw, `{"epoch":1,"next":9,"held":[["","5c1e07a2",800,"m"],["","91bd3f06",410,"m"]]}`)
+	}))
+	t.Cleanup(w.engine.Close)
 	w.list = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintf(rw, `{"instances":[{"id":"i-1","service":"desk","address":%q,"zone":"zone-a","slots":6,"state":"ready"}],"next":null}`, w.server.Listener.Addr())
+		_, _ = fmt.Fprintf(rw, `{"instances":[{"id":"i-1","service":"desk","address":%q,"zone":"zone-a","slots":6,"state":"ready"},
+			{"id":"i-2","service":"guides","address":%q,"zone":"zone-a","slots":48,"state":"ready"}],"next":null}`, w.server.Listener.Addr(), w.engine.Listener.Addr())
 	}))
 	t.Cleanup(w.list.Close)
 	for i := range routers {
@@ -236,6 +248,24 @@
 	w.awaitVoters(3, 4)
 }
 
+// TestEnginesAreAskedOnceForAllRouters answers a start of all routers: one asks the
+// engines what they keep, and the others that one, also a router that comes later.
+func TestEnginesAreAskedOnceForAllRouters(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	withEngines := strings.Replace(document(5, "/a/"), `"services":[`, `"services":[{"name":"guides","health_path":"/health","engine":{"slots":48,"kv_capacity":9000}},`, 1)
+	w.order(0, "PUT", "/v1/config", withEngines, 200)
+	w.routes = append(w.routes, nil)
+	w.stop = append(w.stop, nil)
+	w.start(3, "", false)
+	for i, r := range w.routes {
+		require.Eventually(t, r.prompts.informed.Load, patience, 20*time.Millisecond, "router %d", i)
+		kept := r.servers.Directory(time.Now()).Kept
+		require.Len(t, kept, 1)
+		require.Len(t, kept[0].Prompts, 2)
+	}
+	require.EqualValues(t, 1, w.keptAsked.Load())
+}
+
 // TestMinorityAnswersNoRead leaves one replica of three: a read of the desired
 // state must not be answered by what it knows alone, while callers are served.
 func TestMinorityAnswersNoRead(t *testing.T) {
