A busy service refuses at once what it can't answer in time

Cause: nothing at the router bounded what waits at servers. In a burst that meets the loss of half of the engines 350 requests stood at each engine of 128 slots, everybody waited until the time was over, and 66 to 80 a second were answered where 170 to 230 could be (log lines, "mean" and "queue").

Ruled out: placing (busiest/mean 1.06); connections over the cap (87 reset); the load bound alone.

Change: internal/router/queueing learns how long requests wait at a service and refuses what would wait above a limit by objective, priority, customer's share and patience, only once requests have waited that long. Routers tell how many requests wait at each server. Retry-After is spread. A request isn't moved away from a busy server as if it were silent. Servers that are down don't count for the mean load. Log lines say queue, expected wait, keepers of the prompt and where it is fetched.

--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -13,6 +13,7 @@
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/placing"
+	"bronzerill/internal/router/queueing"
 	"bronzerill/internal/router/server"
 )
 
@@ -107,7 +108,7 @@
 	case x.runs > 0:
 		x.refuse(bronzerill.KindServerFailed, 0)
 	default:
-		x.refuse(bronzerill.KindOf(err), retryRoom)
+		x.refuse(bronzerill.KindOf(err), max(retryRoom, x.refusal.RetryAfter))
 	}
 }
 
@@ -160,8 +161,10 @@
 		Excluded:  x.tried,
 		MayRepeat: x.route.MayRepeat(),
 		ZoneOut:   x.table.IsZoneOut,
+		Request:   x.queueing(now),
 	})
 	if err != nil {
+		x.refusal = choice
 		return attempt{}, err
 	}
 	x.choice = choice
@@ -171,10 +174,18 @@
 	if x.r.Context().Err() != nil {
 		a.outcome = placing.OutcomeNone
 	}
-	x.cfg.Servers.Finish(x.cfg.Clock(), choice, x.route.Name, a.outcome, latency)
+	x.cfg.Servers.Finish(x.cfg.Clock(), x.choice, x.route.Name, a.outcome, latency)
 	return a, nil
 }
 
+// queueing returns what decides whether the request is taken when servers are busy.
+func (x *exchange) queueing(now time.Time) queueing.Request {
+	return queueing.Request{
+		Customer: x.customerName(), Objective: x.route.Objective, Patience: x.deadline.Sub(now), Priority: x.priority(),
+		Engine: x.service.Engine != nil, Returned: len(x.tried) > 0 || x.hasReturned(),
+	}
+}
+
 // ask sends the request to the chosen server and passes its answer on. It sets
 // latency to the time until the first event or the whole answer.
 func (x *exchange) ask(ctx context.Context, now time.Time, latency *time.Duration) attempt {
@@ -236,9 +247,7 @@
 		HasPriority: x.service.Engine != nil,
 		ResumeAfter: x.last,
 		FetchFrom:   x.choice.KeptAt,
-	}
-	if x.customer != nil {
-		orders.Customer = x.customer.Name
+		Customer:    x.customerName(),
 	}
 	id := x.request.ID
 	return server.Call{
@@ -263,6 +272,7 @@
 		return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placing.OutcomeFailed}
 	}
 	*latency = x.cfg.Clock().Sub(now)
+	x.cfg.Servers.Begun(x.cfg.Clock(), &x.choice)
 	reply := x.cfg.Dialect.Reply(answer.Status, answer.Header)
 	if answer.Status < http.StatusBadRequest && !reply.Signed {
 		return attempt{kind: bronzerill.KindCrossed, run: bronzerill.RunDone, outcome: placing.OutcomeFailed}
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -51,6 +51,8 @@
 	inFlight atomic.Int64
 	// answeredLog and failedLog bound the lines of the log.
 	answeredLog, failedLog *journal.Budget
+	// patience holds the longest patience seen on each route.
+	patience patienceTable
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -61,6 +63,7 @@
 		cfg:         cfg,
 		answeredLog: journal.NewBudget("answered", answeredLines),
 		failedLog:   journal.NewBudget("not answered", failedLines),
+		patience:    newPatienceTable(),
 	}
 }
 
@@ -108,6 +111,8 @@
 	runs int
 	// choice is the server that was asked last.
 	choice placing.Choice
+	// refusal is the decision that no server has room, if it was the last one.
+	refusal placing.Choice
 	// written is set once the answer's head is on its way to the caller.
 	written bool
 	// last is the last event that went to the caller whole.
@@ -147,7 +152,7 @@
 		x.deadline = earlier(x.deadline, x.start.Add(x.request.Patience))
 	}
 	x.last = x.request.ResumeAfter
-	x.cfg.Servers.Earn(x.service.Name)
+	x.cfg.Servers.Earn(x.start, x.service.Name, x.customerName())
 	return bronzerill.KindNone
 }
 
@@ -173,12 +178,8 @@
 // fingerprint returns the hash of what stays the same when a caller sends its
 // request again.
 func (x *exchange) fingerprint() placing.Fingerprint {
-	customer := ""
-	if x.customer != nil {
-		customer = x.customer.Name
-	}
 	h := xxhash.New()
-	for _, part := range []string{customer, x.r.Method, x.r.Host, x.r.RequestURI} {
+	for _, part := range []string{x.customerName(), x.r.Method, x.r.Host, x.r.RequestURI} {
 		// A hash never fails to write.
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
@@ -187,6 +188,14 @@
 	return placing.Fingerprint(h.Sum64())
 }
 
+// customerName returns the name of the caller's customer, empty on public routes.
+func (x *exchange) customerName() string {
+	if x.customer == nil {
+		return ""
+	}
+	return x.customer.Name
+}
+
 // priority returns the customer's priority, or else the route's.
 func (x *exchange) priority() int {
 	if x.customer != nil && x.customer.Priority != nil {
@@ -257,8 +266,12 @@
 		fields = append(fields, "customer", x.customer.Name)
 	}
 	if x.choice.ID != "" {
-		fields = append(fields, "server", x.choice.ID, "load", x.choice.Load, "mean", x.choice.Mean,
-			"rank", x.choice.Rank, "affinity", x.request.Affinity(), "list-age-ms", x.choice.ListAge.Milliseconds(), "tried", len(x.tried))
+		fields = append(fields, "server", x.choice.ID, "load", x.choice.Load, "mean", x.choice.Mean, "queue", x.choice.Queue, "wait-ms", x.choice.Wait.Milliseconds(),
+			"rank", x.choice.Rank, "affinity", x.request.Affinity(), "list-age-ms", x.choice.ListAge.Milliseconds(), "tried", len(x.tried),
+			"keepers", x.choice.Keepers, "fetched-from", x.choice.KeptAt)
+	}
+	if x.refusal.RetryAfter > 0 {
+		fields = append(fields, "least-wait-ms", x.refusal.Wait.Milliseconds(), "retry-after-ms", x.refusal.RetryAfter.Milliseconds())
 	}
 	if kind == bronzerill.KindNone {
 		x.cfg.Log.Info("answered", fields...)
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -68,6 +68,8 @@
 	if x.route.Kind == declared.Stream {
 		wait = max(minSilence, silentFactor*x.route.Objective)
 	}
+	// A server that is busy, as all of them are, isn't silent.
+	wait = max(wait, silentFactor*x.choice.Wait)
 	if now.Add(wait + minPatience).After(x.deadline) {
 		return 0
 	}
@@ -109,6 +111,7 @@
 		if n > 0 {
 			if *latency == 0 {
 				*latency = x.cfg.Clock().Sub(now)
+				x.cfg.Servers.Begun(x.cfg.Clock(), &x.choice)
 				metrics.FirstToken.Record(*latency)
 			}
 			w.extend(x.pauseWait())
--- a/internal/router/neighbour/message.go
+++ b/internal/router/neighbour/message.go
@@ -4,6 +4,7 @@
 package neighbour
 
 import (
+	"math"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -42,7 +43,7 @@
 	// ListSum is the checksum of that list.
 	ListSum uint64
 	// Loads are the sender's requests under way, by server.
-	Loads map[placing.ServerKey]uint16
+	Loads map[placing.ServerKey]placing.Carried
 	// Whole digests carry what follows; others only tell loads, which are of use
 	// only while they are fresh.
 	Whole bool
@@ -88,11 +89,11 @@
 // WithObservations returns the digest with the sender's observations: the loads,
 // and the rest if the digest is whole.
 func (d Digest) WithObservations(seen map[placing.ServerKey]placing.Observation) Digest {
-	d.Loads = make(map[placing.ServerKey]uint16)
+	d.Loads = make(map[placing.ServerKey]placing.Carried)
 	d.Seen = make(map[placing.ServerKey]Seen)
 	for key, o := range seen {
 		if o.InFlight > 0 {
-			d.Loads[key] = uint16(min(o.InFlight, 1<<16-1))
+			d.Loads[key] = placing.Carried{InFlight: cut(o.InFlight), Waiting: cut(o.Waiting)}
 		}
 		if d.Whole && o.Done+o.Failed > 0 {
 			d.Seen[key] = Seen{Done: float32(o.Done), Failed: float32(o.Failed), Pace: float32(o.Pace)}
@@ -101,6 +102,8 @@
 	return d
 }
 
+func cut(n int) uint16 { return uint16(min(n, math.MaxUint16)) }
+
 // CompactHomes returns placements in the form of a digest.
 func CompactHomes(told []placing.Placement) []Home {
 	homes := make([]Home, len(told))
--- a/internal/router/neighbour/table_test.go
+++ b/internal/router/neighbour/table_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestDigestRoundTrip(t *testing.T) {
-	seen := map[placing.ServerKey]placing.Observation{7: {InFlight: 3, Done: 2, Failed: 1, Pace: 2.5}, 8: {Done: 1}}
+	seen := map[placing.ServerKey]placing.Observation{7: {InFlight: 3, Waiting: 2, Done: 2, Failed: 1, Pace: 2.5}, 8: {Done: 1}}
 	for _, whole := range []bool{true, false} {
 		d := digest("a", 1)
 		d.Whole = whole
@@ -31,7 +31,7 @@
 		require.NoError(t, err)
 		got, err := decodeDigest(data)
 		require.NoError(t, err)
-		require.Equal(t, map[placing.ServerKey]uint16{7: 3}, got.Loads)
+		require.Equal(t, map[placing.ServerKey]placing.Carried{7: {InFlight: 3, Waiting: 2}}, got.Loads)
 		require.Equal(t, []placing.Placement{{Prompt: 1 << 60, Server: 7}}, got.Placements())
 		if whole {
 			require.InDelta(t, 2.5, got.Observations()[7].Pace, 1e-6)
--- /dev/null
+++ b/internal/router/placing/crowd.go
@@ -0,0 +1,62 @@
+package placing
+
+import (
+	"time"
+
+	"bronzerill/internal/router/queueing"
+)
+
+// freeEngine is the number of requests that may wait at an engine however long
+// requests have waited lately: so few aren't a queue, but long prompts.
+const freeEngine = 6
+
+// crowd decides for one request which servers have room for it.
+type crowd struct {
+	service *queueing.Service
+	limit   time.Duration
+	pressed bool
+	engine  bool
+	// refused counts the servers without room, and least is the least wait there.
+	refused int
+	least   time.Duration
+}
+
+func (t *Table) newCrowd(now time.Time, q Query) *crowd {
+	service := t.queueOf(q.Service.Name)
+	limit := service.Limit(now, q.Request)
+	return &crowd{
+		service: service, limit: limit, engine: q.Service.Engine,
+		pressed: q.Request.Patience > 0 && service.IsPressed(now, limit),
+	}
+}
+
+// hasRoom reports whether a request would be answered at a server within its
+// limit.
+func (c *crowd) hasRoom(now time.Time, r *record) bool {
+	if !c.pressed {
+		return true
+	}
+	free := float64(r.Slots)
+	if c.engine {
+		free = freeEngine
+	}
+	queue := r.queue()
+	wait := c.service.Wait(now, queue)
+	if queue < free || wait <= c.limit {
+		return true
+	}
+	if c.refused == 0 || wait < c.least {
+		c.least = wait
+	}
+	c.refused++
+	return false
+}
+
+func (t *Table) queueOf(service string) *queueing.Service {
+	s, ok := t.queues[service]
+	if !ok {
+		s = queueing.NewService()
+		t.queues[service] = s
+	}
+	return s
+}
--- a/internal/router/placing/load_test.go
+++ b/internal/router/placing/load_test.go
@@ -36,7 +36,7 @@
 type told struct {
 	at    time.Time
 	from  int
-	loads map[ServerKey]uint16
+	loads map[ServerKey]Carried
 	homes []Placement
 	seen  map[ServerKey]Observation
 }
@@ -74,14 +74,15 @@
 	}
 }
 
-func (f *fleet) settle() {
+// exchange carries the digests that are due between the entries.
+func (f *fleet) exchange() {
 	for f.toldAt.Add(digestPeriod).Before(f.now) {
 		f.toldAt = f.toldAt.Add(digestPeriod)
 		for i, table := range f.tables {
 			seen := table.Observations(f.toldAt)
-			loads := make(map[ServerKey]uint16)
+			loads := make(map[ServerKey]Carried)
 			for key, o := range seen {
-				loads[key] = uint16(o.InFlight)
+				loads[key] = Carried{InFlight: uint16(o.InFlight), Waiting: uint16(o.Waiting)}
 			}
 			f.pending = append(f.pending, told{f.toldAt.Add(digestDelay), i, loads, table.Tell(f.toldAt), seen})
 		}
@@ -98,6 +99,10 @@
 			}
 		}
 	}
+}
+
+func (f *fleet) settle() {
+	f.exchange()
 	kept := f.ends[:0]
 	for _, e := range f.ends {
 		if e.at.After(f.now) {
--- a/internal/router/placing/outcome.go
+++ b/internal/router/placing/outcome.go
@@ -32,9 +32,11 @@
 	defer t.mu.Unlock()
 	r, ok := t.servers[c.ID]
 	if !ok {
+		t.endWait(now, &record{}, &c)
 		return
 	}
 	r.own = max(0, r.own-1)
+	t.endWait(now, r, &c)
 	switch outcome {
 	case OutcomeAnswered:
 		r.seen.add(now, false, t.pace(route, latency))
@@ -52,6 +54,29 @@
 	}
 }
 
+// Begun counts the first event or the whole answer of a request that Pick counted.
+func (t *Table) Begun(now time.Time, c *Choice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.begun {
+		return
+	}
+	c.begun = true
+	t.queueOf(c.Service).Answer(now, c.SentAt, c.Queue)
+	if r, ok := t.servers[c.ID]; ok {
+		r.waiting = max(0, r.waiting-1)
+	}
+}
+
+// endWait counts the end of a wait without an answer.
+func (t *Table) endWait(now time.Time, r *record, c *Choice) {
+	if c.begun {
+		return
+	}
+	r.waiting = max(0, r.waiting-1)
+	t.queueOf(c.Service).Leave(now, c.SentAt)
+}
+
 // Lost notes that the connection to a server broke while it ran a request.
 func (t *Table) Lost(now time.Time, print Fingerprint, c Choice) {
 	t.mu.Lock()
@@ -126,10 +151,12 @@
 	return seconds / max(mean, 1e-4)
 }
 
-// Earn counts a caller's request for the retry budget of a service.
-func (t *Table) Earn(service string) {
+// Earn counts a customer's request for the retry budget of a service and for the
+// shares of its customers.
+func (t *Table) Earn(now time.Time, service, customer string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.queueOf(service).Count(now, customer)
 	t.budget(service).Earn(t.limits.RetryRatio, t.limits.RetrySlack, len(t.entries))
 }
 
--- a/internal/router/placing/pick.go
+++ b/internal/router/placing/pick.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bronzerill"
+	"bronzerill/internal/router/queueing"
 )
 
 // Query describes a request that needs a server.
@@ -22,6 +23,9 @@
 	MayRepeat bool
 	// ZoneOut reports whether a zone gets nothing.
 	ZoneOut func(zone string) bool
+	// Request is what decides whether the request is still taken when servers are
+	// busy.
+	Request queueing.Request
 }
 
 // Choice is the outcome of a decision, with what decided it.
@@ -36,13 +40,26 @@
 	// ListAge is the age of the list of servers.
 	ListAge time.Duration
 	Cold    bool
+	// SentAt is when the server was chosen, Queue the number of requests that
+	// waited there for an answer, and Wait how long the request is likely to wait.
+	SentAt time.Time
+	Queue  float64
+	Wait   time.Duration
+	// RetryAfter is when a refused caller may come back, 0 where no time is known.
+	RetryAfter time.Duration
+	// begun is set once the request has an answer, or the first event of it.
+	begun bool
+	// Keepers is the number of servers that are believed to keep the prompt.
+	Keepers int
 	// KeptAt is the address of a server that keeps the prompt, where this one is
 	// not believed to; it may be fetched from there.
 	KeptAt string
 }
 
 // Pick chooses a server and counts the request as under way there. An error of
-// kind no-server means that none may take the request now.
+// kind no-server means that none may take the request now, and one of kind
+// overloaded that the wait would be too long at each; the choice then says when to
+// come back.
 func (t *Table) Pick(now time.Time, q Query) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -57,25 +74,36 @@
 	} else {
 		t.orderByWait(able)
 	}
+	crowd := t.newCrowd(now, q)
 	for rank, r := range able {
-		if !t.mayTake(now, r, q.Service) {
+		if !crowd.hasRoom(now, r) || !t.mayTake(now, r, q.Service) {
 			continue
 		}
-		choice := Choice{Server: r.Server, Load: r.inFlight(), Mean: mean, Rank: rank, ListAge: now.Sub(t.listAt), Cold: r.isCold(now)}
+		choice := Choice{
+			Server: r.Server, Load: r.inFlight(), Mean: mean, Rank: rank, ListAge: now.Sub(t.listAt), Cold: r.isCold(now),
+			SentAt: now, Queue: r.queue(), Wait: crowd.service.Wait(now, r.queue()),
+		}
 		r.own++
+		r.waiting++
+		crowd.service.Send(now)
 		if q.Service.Engine && q.Affinity != 0 {
-			choice.KeptAt = t.keptAt(now, q, r)
+			homes := t.homes.Get(now, q.Affinity)
+			choice.Keepers = len(homes)
+			choice.KeptAt = t.keptAt(now, homes, r)
 			t.homes.Place(now, Placement{Prompt: q.Affinity, Server: r.key})
 		}
 		return choice, nil
 	}
+	if crowd.refused > 0 {
+		return Choice{RetryAfter: queueing.RetryAfter(crowd.least, q.Request, t.random.Float64()), Wait: crowd.least},
+			bronzerill.Errorf(bronzerill.KindOverloaded, "the wait would be %v at the least, above %v", crowd.least, crowd.limit)
+	}
 	return Choice{}, bronzerill.Errorf(bronzerill.KindCold, "every server of %s that takes work is cold", q.Service.Name)
 }
 
 // keptAt returns the address of a sound server that keeps the prompt, if the
 // chosen one doesn't. Servers that leave count: their prompts would be lost.
-func (t *Table) keptAt(now time.Time, q Query, chosen *record) string {
-	homes := t.homes.Get(now, q.Affinity)
+func (t *Table) keptAt(now time.Time, homes []ServerKey, chosen *record) string {
 	if slices.Contains(homes, chosen.key) {
 		return ""
 	}
@@ -171,12 +199,12 @@
 	return float64(sum) / float64(len(able))
 }
 
-// serviceMean returns the mean load of all servers of a service, also of those
-// that take no work: the deployment's bound is relative to it.
+// serviceMean returns the mean load of all servers of a service that run, also of
+// those that take no work: the deployment's bound is relative to it.
 func (t *Table) serviceMean(service string) float64 {
 	sum, n := 0, 0
 	for _, r := range t.servers {
-		if r.Service == service {
+		if r.Service == service && r.refusals == 0 {
 			sum += r.inFlight()
 			n++
 		}
--- a/internal/router/placing/server.go
+++ b/internal/router/placing/server.go
@@ -38,10 +38,21 @@
 // KeyOf returns the short hash of a server's ID.
 func KeyOf(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
 
+// Carried is what one entry has under way at a server. Its fields are counts, cut
+// to what fits.
+type Carried struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	// InFlight requests were sent and aren't over.
+	InFlight uint16
+	// Waiting requests of these have no answer yet, or no event of it.
+	Waiting uint16
+}
+
 // Observation is what one entry has seen of a server lately.
 type Observation struct {
-	// InFlight is the number of requests under way.
-	InFlight int
+	// InFlight is the number of requests under way, Waiting the number of those
+	// that have no answer yet, or no event of it.
+	InFlight, Waiting int
 	// Done and Failed are decayed counts of finished requests.
 	Done, Failed float64
 	// Pace is the decayed sum, over finished requests, of their latency
@@ -89,9 +100,10 @@
 type record struct {
 	Server
 	key ServerKey
-	// own is what this entry has under way there.
-	own  int
-	seen decayed
+	// own is what this entry has under way there, and waiting is the part of it
+	// that has no answer yet.
+	own, waiting int
+	seen         decayed
 	// peers is the sum of the neighbours' observations.
 	peers Observation
 	// coldUntil is the end of the cold start as far as it is known.
@@ -107,6 +119,10 @@
 
 func (r *record) inFlight() int { return r.own + r.peers.InFlight }
 
+// queue returns the number of requests that wait for an answer, also of those that
+// neighbours are likely to have sent since they told.
+func (r *record) queue() float64 { return float64(r.waiting+r.peers.Waiting) + r.unseen() }
+
 // loadAge is how old the neighbours' loads are at the most, as long as digests
 // arrive.
 const loadAge = 100 * time.Millisecond
--- a/internal/router/placing/table.go
+++ b/internal/router/placing/table.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"bronzerill/internal/router/queueing"
 )
 
 // Limits are the bounds that the deployment sets. They are given to each
@@ -54,13 +56,15 @@
 	sumsUntil time.Time
 	homes     *Homes
 	suspects  *Suspects
+	// queues holds what is known of the waits at each service.
+	queues map[string]*queueing.Service
 }
 
 // peerView is what one neighbour has told last.
 type peerView struct {
 	// at is when the loads came.
 	at    time.Time
-	loads map[ServerKey]uint16
+	loads map[ServerKey]Carried
 	seen  map[ServerKey]Observation
 }
 
@@ -80,6 +84,7 @@
 		homes:   NewHomes(),
 
 		suspects: NewSuspects(),
+		queues:   make(map[string]*queueing.Service),
 		entries:  []string{cfg.Entry},
 	}
 }
@@ -195,7 +200,7 @@
 }
 
 // SetPeerLoads takes the requests that a neighbour has under way.
-func (t *Table) SetPeerLoads(now time.Time, peer string, loads map[ServerKey]uint16) {
+func (t *Table) SetPeerLoads(now time.Time, peer string, loads map[ServerKey]Carried) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	view := t.peers[peer]
@@ -223,7 +228,8 @@
 		}
 		for key, n := range view.loads {
 			s := sums[key]
-			s.InFlight += int(n)
+			s.InFlight += int(n.InFlight)
+			s.Waiting += int(n.Waiting)
 			sums[key] = s
 		}
 		for key, o := range view.seen {
@@ -246,7 +252,7 @@
 	seen := make(map[ServerKey]Observation, len(t.servers))
 	for _, r := range t.servers {
 		r.seen.advance(now)
-		o := Observation{InFlight: r.own, Done: r.seen.done, Failed: r.seen.failed, Pace: r.seen.pace}
+		o := Observation{InFlight: r.own, Waiting: r.waiting, Done: r.seen.done, Failed: r.seen.failed, Pace: r.seen.pace}
 		if o.InFlight > 0 || o.Done+o.Failed > 0.05 {
 			seen[r.key] = o
 		}
--- a/internal/router/placing/table_test.go
+++ b/internal/router/placing/table_test.go
@@ -190,7 +190,7 @@
 			table := newTable(name, list("desk", 3))
 			table.SetEntries(names)
 			for range 300 {
-				table.Earn("desk")
+				table.Earn(start, "desk", "")
 				requests++
 				for table.SpendRetry("desk") {
 					extra++
@@ -285,7 +285,7 @@
 func TestSilentNeighboursLoadsAreForgotten(t *testing.T) {
 	table := newTable("a", list("guides", 9))
 	home := pick(t, table, start, 7)
-	table.SetPeerLoads(start, "b", map[ServerKey]uint16{KeyOf(home.ID): 30})
+	table.SetPeerLoads(start, "b", map[ServerKey]Carried{KeyOf(home.ID): {InFlight: 30}})
 	require.NotEqual(t, home.ID, pick(t, table, start, 7).ID, "it is above the load bound")
 	require.Equal(t, 30, table.servers[home.ID].peers.InFlight)
 	pick(t, table, start.Add(peerTimeout+time.Millisecond), 7)
@@ -304,6 +304,6 @@
 			table.Finish(start, Choice{Server: s}, "r", OutcomeAnswered, latency)
 		}
 	}
-	table.SetPeerLoads(start, "b", map[ServerKey]uint16{KeyOf(home.ID): 12})
+	table.SetPeerLoads(start, "b", map[ServerKey]Carried{KeyOf(home.ID): {InFlight: 12}})
 	require.NotEqual(t, home.ID, pick(t, table, start, 7).ID)
 }
--- /dev/null
+++ b/internal/router/queueing/queueing_test.go
@@ -0,0 +1,118 @@
+package queueing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestWaitFollowsTheQueue(t *testing.T) {
+	var e Estimate
+	require.Zero(t, e.Wait(start, 100), "nothing is known")
+	require.Zero(t, e.Recent(start))
+	for i := range 20 {
+		e.Send(at(10 * i))
+	}
+	for i := range 20 {
+		e.Answer(at(10*i+400), at(10*i), 9)
+	}
+	now := at(600)
+	require.InDelta(t, 0.4, e.Recent(now).Seconds(), 0.01)
+	require.InDelta(t, 0.4, e.Wait(now, 9).Seconds(), 0.01)
+	require.InDelta(t, 0.8, e.Wait(now, 19).Seconds(), 0.01)
+}
+
+// TestStandstillShowsBeforeItEnds answers servers that answer nobody any more: the
+// requests that wait there tell it.
+func TestStandstillShowsBeforeItEnds(t *testing.T) {
+	var e Estimate
+	e.Send(at(0))
+	e.Answer(at(50), at(0), 4)
+	for range 10 {
+		e.Send(at(100))
+	}
+	require.InDelta(t, 0.05, e.Recent(at(110)).Seconds(), 0.01)
+	require.InDelta(t, 0.9, e.Recent(at(1000)).Seconds(), 0.01)
+	require.InDelta(t, 0.9, e.Wait(at(1000), 4).Seconds(), 0.01)
+	for range 10 {
+		e.Leave(at(1100), at(100))
+	}
+	require.InDelta(t, 0.05, e.Recent(at(1100)).Seconds(), 0.01, "those that left taught nothing")
+}
+
+func TestOldWaitsAreForgotten(t *testing.T) {
+	var e Estimate
+	for i := range 50 {
+		e.Send(at(i))
+		e.Answer(at(i+2000), at(i), 9)
+	}
+	for i := range 20 {
+		e.Send(at(5000 + i))
+		e.Answer(at(5030+i), at(5000+i), 0)
+	}
+	// The slow ones ended 3 s before, six half-lives.
+	require.Less(t, e.Recent(at(5100)), 150*time.Millisecond)
+}
+
+func TestLimit(t *testing.T) {
+	normal := Request{Objective: 500 * time.Millisecond, Patience: 5 * time.Second, Priority: 1}
+	with := func(change func(*Request)) Request {
+		r := normal
+		change(&r)
+		return r
+	}
+	limit := func(r Request) time.Duration { return NewService().Limit(start, r) }
+	require.Equal(t, 500*time.Millisecond, limit(normal))
+	require.Greater(t, limit(with(func(r *Request) { r.Priority = 0 })), limit(normal))
+	require.Less(t, limit(with(func(r *Request) { r.Priority = 2 })), limit(normal))
+	require.Greater(t, limit(with(func(r *Request) { r.Returned = true })), limit(normal))
+	require.Less(t, limit(with(func(r *Request) { r.Engine = true })), limit(normal))
+	require.InDelta(t, 0.1, limit(with(func(r *Request) { r.Patience = 300 * time.Millisecond })).Seconds(), 0.001, "there is no time for more")
+	require.Equal(t, minLimit, limit(with(func(r *Request) { r.Objective = 0 })))
+}
+
+func TestSurgingCustomersWaitLess(t *testing.T) {
+	s := NewService()
+	request := Request{Objective: 500 * time.Millisecond, Patience: 5 * time.Second, Priority: 1}
+	for i := range 1000 {
+		now := at(i)
+		s.Count(now, "surging")
+		if i%10 == 0 {
+			s.Count(now, fmt.Sprintf("customer-%d", i/10%9))
+		}
+		if i%40 == 0 {
+			s.Count(now, "large")
+		}
+	}
+	limit := func(customer string) time.Duration {
+		request.Customer = customer
+		return s.Limit(at(1000), request)
+	}
+	require.Equal(t, 500*time.Millisecond, limit("customer-1"))
+	require.Equal(t, 500*time.Millisecond, limit("large"), "a customer that is large as ever is treated like the others")
+	require.InDelta(t, leastShare*0.5, limit("surging").Seconds(), 0.05)
+	require.Equal(t, 500*time.Millisecond, limit("new"))
+}
+
+func TestFewCustomersHaveNoShares(t *testing.T) {
+	s := NewService()
+	for i := range 100 {
+		s.Count(at(i), "only")
+	}
+	require.EqualValues(t, 1, s.shares.ratio(at(100), "only"))
+}
+
+func TestRetryAfter(t *testing.T) {
+	r := Request{Patience: 3 * time.Second}
+	soonest, latest := RetryAfter(400*time.Millisecond, r, 0), RetryAfter(400*time.Millisecond, r, 1)
+	require.Equal(t, 200*time.Millisecond, soonest)
+	require.Equal(t, time.Second, latest)
+	require.Equal(t, 500*time.Millisecond, RetryAfter(time.Minute, r, 0), "not all of them at the end")
+	require.LessOrEqual(t, RetryAfter(0, Request{}, 1), minReturn)
+}
--- /dev/null
+++ b/internal/router/queueing/service.go
@@ -0,0 +1,108 @@
+package queueing
+
+import (
+	"time"
+)
+
+// Request is what decides whether a request is still taken.
+type Request struct {
+	// Customer is empty on public routes.
+	Customer string
+	// Objective is the wait within which an answer has its full value.
+	Objective time.Duration
+	// Patience is how long the caller still waits.
+	Patience time.Duration
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// Engine is set for model engines.
+	Engine bool
+	// Returned is set when the request was refused before, or has lost a server.
+	Returned bool
+}
+
+// Parameters of the limit on waits.
+const (
+	// engineShare is the part of the objective that the mean wait at an engine may
+	// take: waits differ there with the prompts, and what runs slows down every
+	// other request's events.
+	engineShare = 0.45
+	// minLimit is the least limit: below it the loss of a packet counts as a queue.
+	minLimit = 150 * time.Millisecond
+	// patienceShare is the part of a caller's patience that it may spend waiting,
+	// so that there is time for the answer and for another try.
+	patienceShare = 1.0 / 3
+	// urgentFactor and patientFactor spread the limits by priority, so that the
+	// less urgent are refused first but not all of them.
+	urgentFactor  = 1.2
+	patientFactor = 0.85
+	// returnedFactor lets those go first who were turned away before.
+	returnedFactor = 1.5
+	// usualShare is the multiple of an even share of the requests up to which a
+	// customer is treated like the others.
+	usualShare = 2.0
+	// leastShare bounds what a customer with many requests loses.
+	leastShare = 0.4
+)
+
+// Service decides for the requests of one service, as one router sees it.
+type Service struct {
+	Estimate
+	shares Shares
+}
+
+// NewService returns a service without requests.
+func NewService() *Service { return &Service{shares: newShares()} }
+
+// Limit returns the wait above which a request isn't taken. A short queue serves
+// as many callers as a long one, and each of them sooner.
+func (s *Service) Limit(now time.Time, r Request) time.Duration {
+	limit := r.Objective.Seconds()
+	if r.Engine {
+		limit *= engineShare
+	}
+	limit = max(minLimit.Seconds(), limit)
+	switch {
+	case r.Priority <= 0:
+		limit *= urgentFactor
+	case r.Priority >= 2:
+		limit *= patientFactor
+	}
+	if ratio := s.shares.ratio(now, r.Customer); ratio > usualShare {
+		limit *= max(leastShare, usualShare/ratio)
+	}
+	if r.Returned {
+		limit *= returnedFactor
+	}
+	return min(seconds(limit), seconds(patienceShare*r.Patience.Seconds()))
+}
+
+// pressure is the part of a limit that requests must have waited lately for the
+// service to count as pressed: near the limit, since a burst that the servers bear
+// looks like a long queue before it is known how fast it empties.
+const pressure = 0.8
+
+// IsPressed reports whether requests wait so long that some must be refused.
+func (s *Service) IsPressed(now time.Time, limit time.Duration) bool {
+	return s.Recent(now) > seconds(pressure*limit.Seconds())
+}
+
+// Count counts a caller's request.
+func (s *Service) Count(now time.Time, customer string) { s.shares.count(now, customer) }
+
+// Bounds of the time after which a refused caller may come back.
+const (
+	minReturn = 100 * time.Millisecond
+	// returnShare is the part of its patience for which a caller stays away; a
+	// longer pause isn't kept.
+	returnShare = 1.0 / 3
+)
+
+// RetryAfter returns when a refused caller may come back, given the least wait at
+// any server: when the queue has emptied, or later, spread by a number that is
+// uniform from 0 to 1, so that those who were refused together don't return as a
+// wave.
+func RetryAfter(wait time.Duration, r Request, uniform float64) time.Duration {
+	longest := max(minReturn, seconds(returnShare*r.Patience.Seconds()))
+	soonest := min(max(minReturn, wait/2), longest/2)
+	return soonest + seconds(uniform*(longest-soonest).Seconds())
+}
--- /dev/null
+++ b/internal/router/queueing/shares.go
@@ -0,0 +1,80 @@
+package queueing
+
+import (
+	"math"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// maxCustomers bounds the customers whose requests are counted.
+	maxCustomers = 2048
+	// shareHalfLife is the time in which a counted request loses half of its
+	// weight: a customer's surge lasts some seconds.
+	shareHalfLife = 2 * time.Second
+	// activeCount is the least count of a customer that takes part.
+	activeCount = 0.5
+	// minActive is the number of customers below which shares mean nothing.
+	minActive = 3
+)
+
+// Shares counts the requests of customers at one router. Callers are spread over
+// the routers, so each sees about the same shares.
+type Shares struct {
+	counts *lru.Cache[string, decayed]
+	// mean is the mean count of the active customers, as of meanAt.
+	mean   float64
+	meanAt time.Time
+}
+
+type decayed struct {
+	count float64
+	at    time.Time
+}
+
+func (d decayed) value(now time.Time) float64 {
+	return d.count * math.Exp2(-max(0, now.Sub(d.at).Seconds())/shareHalfLife.Seconds())
+}
+
+func newShares() Shares {
+	// The size is above 0, so no error is possible.
+	counts, _ := lru.New[string, decayed](maxCustomers)
+	return Shares{counts: counts}
+}
+
+func (s *Shares) count(now time.Time, customer string) {
+	d, _ := s.counts.Get(customer)
+	s.counts.Add(customer, decayed{d.value(now) + 1, now})
+}
+
+// meanInterval is how long a mean over all customers is used.
+const meanInterval = 100 * time.Millisecond
+
+// ratio returns a customer's requests relative to the mean of those that have any.
+func (s *Shares) ratio(now time.Time, customer string) float64 {
+	if now.Sub(s.meanAt) >= meanInterval {
+		s.mean, s.meanAt = s.average(now), now
+	}
+	if s.mean == 0 {
+		return 1
+	}
+	d, _ := s.counts.Peek(customer)
+	return d.value(now) / s.mean
+}
+
+// average returns the mean count of the active customers, 0 if there are few.
+func (s *Shares) average(now time.Time) float64 {
+	sum, active := 0.0, 0
+	for _, customer := range s.counts.Keys() {
+		d, _ := s.counts.Peek(customer)
+		if count := d.value(now); count >= activeCount {
+			sum += count
+			active++
+		}
+	}
+	if active < minActive {
+		return 0
+	}
+	return sum / float64(active)
+}
