Soak: proxies between routers; refusals by reason; routers may advertise another address

Cause: the soak's faults reached only the connections to servers. Between routers it had nothing but signals.

Change: each router has a link before its internal port: calls pass the proxy (reset, delayed, silent in either direction or both), digests a relay that loses them. The setting router.advertise names the address at which others reach a router. A play prints why requests were refused.

--- a/cmd/bronzerill-soak/fleet.go
+++ b/cmd/bronzerill-soak/fleet.go
@@ -25,6 +25,8 @@
 	paused bool
 	// stoppedAt is when SIGTERM was sent, zero while the router runs.
 	stoppedAt time.Time
+	// link is the way from other routers to this one.
+	link *link
 }
 
 // fleet runs routers at 127.0.0.1 and on; only processes that it started are
@@ -50,7 +52,11 @@
 		}
 	}
 	for i := range cfg.routers {
-		f.nodes = append(f.nodes, &node{index: i, disk: i < cfg.disks, found: true})
+		way, err := newLink(cfg, f.linkAddr(i), f.addr(i, "internal"))
+		if err != nil {
+			return nil, err
+		}
+		f.nodes = append(f.nodes, &node{index: i, disk: i < cfg.disks, found: true, link: way})
 	}
 	// What an earlier play of the seed has left would be taken for a group.
 	if err := os.RemoveAll(cfg.folder); err != nil {
@@ -63,6 +69,11 @@
 	return fmt.Sprintf("127.0.0.%d:%d", i+1, f.ports[port])
 }
 
+// linkAddr is where other routers reach a router.
+func (f *fleet) linkAddr(i int) string {
+	return fmt.Sprintf("127.0.1.%d:%d", i+1, f.ports["internal"])
+}
+
 func (f *fleet) dataFolder(n *node) string {
 	if !n.disk {
 		return ""
@@ -73,7 +84,7 @@
 func (f *fleet) settings(n *node) string {
 	var seeds []string
 	for i := range min(3, f.cfg.routers) {
-		seeds = append(seeds, fmt.Sprintf("%q", f.addr(i, "operators")))
+		seeds = append(seeds, fmt.Sprintf("%q", f.linkAddr(i)))
 	}
 	return fmt.Sprintf(`name = "router-%d"
 zone = "zone-%d"
@@ -82,6 +93,7 @@
 readiness = %q
 operators = %q
 internal = %q
+advertise = %q
 metrics = %q
 seeds = [%s]
 found = %t
@@ -94,7 +106,7 @@
 retry-slack = "62"
 load-multiple = "2"
 `, n.index, n.index%3, f.addr(n.index, "callers"), f.addr(n.index, "readiness"), f.addr(n.index, "operators"),
-		f.addr(n.index, "internal"), f.addr(n.index, "metrics"), strings.Join(seeds, ", "), n.found, f.dataFolder(n), f.list)
+		f.addr(n.index, "internal"), f.linkAddr(n.index), f.addr(n.index, "metrics"), strings.Join(seeds, ", "), n.found, f.dataFolder(n), f.list)
 }
 
 // start starts a router; its log goes on in the same file.
@@ -164,6 +176,7 @@
 
 func (f *fleet) stopAll() {
 	for _, n := range f.nodes {
+		n.link.close()
 		f.signal(n, syscall.SIGCONT)
 		f.signal(n, syscall.SIGKILL)
 	}
--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -86,7 +87,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.faults, fmt.Sprintf("%d answered, %d refused as not run, %d unknown, %d changes", c.answered.Load(), c.refused.Load(), c.unknown.Load(), o.acked.Load()), nil
+	return w.faults, fmt.Sprintf("%s, %d changes", c, o.acked.Load()), nil
 }
 
 // inject plays the seed's faults, in series and overlapping.
@@ -98,9 +99,9 @@
 	for end := time.Now().Add(cfg.faultTime); time.Now().Before(end) && ctx.Err() == nil; {
 		n := f.nodes[random.IntN(len(f.nodes))]
 		b := w.backends[random.IntN(len(w.backends))]
-		kind, length := random.IntN(9), time.Duration(300+random.IntN(1500))*time.Millisecond
+		kind, length := random.IntN(12), time.Duration(300+random.IntN(1500))*time.Millisecond
 		group.Go(func() error {
-			if kind >= 5 {
+			if kind >= 5 && kind < 9 {
 				disturbServer(kind, b, length)
 				return nil
 			}
@@ -117,6 +118,10 @@
 			}
 			cfg.disturbed()
 			defer cfg.disturbed()
+			if kind >= 9 {
+				disturbLink(kind, n, length)
+				return nil
+			}
 			return disturbRouter(kind, f, w, n, length)
 		})
 		time.Sleep(time.Duration(100+random.IntN(600)) * time.Millisecond)
@@ -128,6 +133,27 @@
 		b.proxy.silent.Store(0)
 		b.proxy.delay.Store(0)
 	}
+	for _, n := range f.nodes {
+		n.link.heal()
+	}
+}
+
+// disturbLink disturbs the way from other routers to one router.
+func disturbLink(kind int, n *node, length time.Duration) {
+	switch kind {
+	case 9:
+		n.link.resetAll()
+	case 10:
+		n.link.delay.Store(int64(length / 8))
+		time.Sleep(length)
+		n.link.delay.Store(0)
+	case 11:
+		// Long enough for an election, and one way or both.
+		n.link.cut(forward+int32(length.Milliseconds()%3), 2*length)
+	}
+	if n.disk {
+		time.Sleep(catchUp)
+	}
 }
 
 // catchUp is the time that a replica has to come back before the next is lost.
@@ -186,6 +212,26 @@
 	world                      *world
 	sent                       atomic.Int64
 	answered, refused, unknown atomic.Int64
+	mu                         sync.Mutex
+	// refusals counts the refusals by their reason.
+	refusals map[string]int
+}
+
+// note counts a refusal by the reason in its body.
+func (c *callersOf) note(body string) {
+	c.refused.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refusals == nil {
+		c.refusals = make(map[string]int)
+	}
+	c.refusals[standin.Reason(body)]++
+}
+
+func (c *callersOf) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("%d answered, %d refused as not run %v, %d unknown", c.answered.Load(), c.refused.Load(), c.refusals, c.unknown.Load())
 }
 
 func (c *callersOf) run(ctx context.Context, random *rand.Rand) {
@@ -245,7 +291,7 @@
 	case err != nil:
 		c.unknown.Add(1)
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-		c.refused.Add(1)
+		c.note(body)
 		if runs > 0 && !repeats {
 			c.world.broken("%s%s was refused with %d and had run", path, id, status)
 		}
--- a/cmd/bronzerill-soak/proxy.go
+++ b/cmd/bronzerill-soak/proxy.go
@@ -18,14 +18,21 @@
 	listener net.Listener
 	// delay is added to each answer, in nanoseconds.
 	delay atomic.Int64
-	// silent connections pass nothing in one direction: 1 to the server, 2 back.
+	// silent connections pass nothing in a direction, or in both.
 	silent atomic.Int32
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 }
 
-func newProxy(cfg config, target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// Directions in which a connection is silent.
+const (
+	forward  int32 = 1
+	backward int32 = 2
+	both     int32 = 3
+)
+
+func newProxy(cfg config, addr, target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -51,8 +58,8 @@
 	p.mu.Lock()
 	p.conns[conn], p.conns[up] = true, true
 	p.mu.Unlock()
-	p.cfg.tasks.Go(func() error { p.copy(up, conn, 1); return nil })
-	p.copy(conn, up, 2)
+	p.cfg.tasks.Go(func() error { p.copy(up, conn, forward); return nil })
+	p.copy(conn, up, backward)
 	p.mu.Lock()
 	delete(p.conns, conn)
 	delete(p.conns, up)
@@ -63,10 +70,10 @@
 	buffer := make([]byte, 4096)
 	for {
 		n, err := from.Read(buffer)
-		if direction == 2 {
+		if direction == backward {
 			time.Sleep(time.Duration(p.delay.Load()))
 		}
-		for p.silent.Load() == direction {
+		for p.silent.Load()&direction != 0 {
 			time.Sleep(10 * time.Millisecond)
 		}
 		if n > 0 {
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -72,7 +72,7 @@
 	b := &backend{id: id, service: service}
 	b.web = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(b, rw, r) }), ReadHeaderTimeout: time.Second}
 	w.cfg.tasks.Go(func() error { _ = b.web.Serve(listener); return nil })
-	b.proxy, err = newProxy(w.cfg, listener.Addr().String())
+	b.proxy, err = newProxy(w.cfg, "127.0.0.1:0", listener.Addr().String())
 	return b, err
 }
 
@@ -110,6 +110,10 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if standin.IsKeptCall(r) {
+		_, _ = io.WriteString(rw, standin.KeptNothing)
+		return
+	}
 	id, meant, after := standin.Asked(r)
 	if meant != b.id {
 		w.broken("request %s for %q reached %s", id, meant, b.id)
--- a/internal/router/neighbour/gossip.go
+++ b/internal/router/neighbour/gossip.go
@@ -28,8 +28,10 @@
 
 // GossipConfig configures a Gossip.
 type GossipConfig struct {
-	Self  Peer
-	Table *Table
+	Self Peer
+	// Listen is the router's own address, which others may reach under another.
+	Listen string
+	Table  *Table
 	// Fill completes a digest with what this router has to tell.
 	Fill func(now time.Time, d *Digest)
 	// Received takes each new digest.
@@ -50,9 +52,9 @@
 
 // NewGossip listens on the router's own address.
 func NewGossip(cfg GossipConfig) (*Gossip, error) {
-	addr, err := net.ResolveUDPAddr("udp4", cfg.Self.Addr)
+	addr, err := net.ResolveUDPAddr("udp4", cfg.Listen)
 	if err != nil {
-		return nil, errors.Wrapf(err, "address %s", cfg.Self.Addr)
+		return nil, errors.Wrapf(err, "address %s", cfg.Listen)
 	}
 	conn, err := net.ListenUDP("udp4", addr)
 	if err != nil {
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -144,7 +144,7 @@
 		Log:        g.router.log,
 		Clock:      time.Now,
 		Seed:       xxhash.Sum64String(g.router.settings.Name) ^ uint64(time.Now().UnixNano()),
-		Addr:       g.router.settings.Router.Internal,
+		Addr:       g.router.settings.Router.Reached(),
 		SelfRepair: true,
 	})
 	if err != nil {
@@ -183,7 +183,7 @@
 	}
 	members := replica.Members{}
 	if founder {
-		members = members.With(replica.Member{Name: name, Addr: g.router.settings.Router.Internal, Voter: true})
+		members = members.With(replica.Member{Name: name, Addr: g.router.settings.Router.Reached(), Voter: true})
 	}
 	g.router.log.Info("data folder prepared", "replica", name, "founder", founder)
 	return replica.InitStore(folder, name, members)
@@ -195,8 +195,8 @@
 	seeds := g.router.peers.Seeds()
 	registrar := slices.Min(seeds)
 	self := g.router.settings.Router
-	request := neighbour.FoundRequest{Name: g.router.settings.Name, Addr: self.Internal}
-	if registrar == self.Internal {
+	request := neighbour.FoundRequest{Name: g.router.settings.Name, Addr: self.Reached()}
+	if registrar == self.Reached() {
 		return g.Found(request)
 	}
 	for ctx.Err() == nil {
@@ -228,7 +228,7 @@
 		return false
 	}
 	if own.DataFolder != "" {
-		return r.Addr == own.Internal
+		return r.Addr == own.Reached()
 	}
 	if g.granted == "" {
 		g.granted = r.Addr
@@ -248,12 +248,12 @@
 		return
 	}
 	leader, _ := g.router.peers.Leader(now)
-	if leader == "" || leader == g.router.settings.Router.Internal {
+	if leader == "" || leader == g.router.settings.Router.Reached() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, neighbour.CallTimeout)
 	defer cancel()
-	request := neighbour.JoinRequest{Name: node.Name(), Addr: g.router.settings.Router.Internal, Spare: !g.router.settings.Router.Found}
+	request := neighbour.JoinRequest{Name: node.Name(), Addr: g.router.settings.Router.Reached(), Spare: !g.router.settings.Router.Found}
 	var reply neighbour.JoinReply
 	err := g.router.clients.Call(ctx, leader, "Join", &request, &reply)
 	if err == nil {
@@ -372,7 +372,7 @@
 		now := time.Now()
 		if _, leads := g.local(now); leads {
 			err = here()
-		} else if addr, _ := g.leader(now); addr != "" && addr != g.router.settings.Router.Internal {
+		} else if addr, _ := g.leader(now); addr != "" && addr != g.router.settings.Router.Reached() {
 			err = there(addr)
 		}
 		if !mayPass(err) {
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -117,7 +117,7 @@
 		return nil, err
 	}
 	seed := xxhash.Sum64String(s.Name) ^ uint64(now.UnixNano())
-	self := neighbour.Peer{Name: s.Name, Addr: s.Router.Internal, Zone: s.Zone, Started: now.UnixNano()}
+	self := neighbour.Peer{Name: s.Name, Addr: s.Router.Reached(), Zone: s.Zone, Started: now.UnixNano()}
 	r := &Router{
 		settings: s, path: path, adapter: adapter, log: log,
 		peers:   neighbour.NewTable(self, seeds, seed),
@@ -128,7 +128,7 @@
 	r.servers.SetLimits(limits(*s.Router))
 	r.holder = newHolder(adapter, r.servers, log)
 	r.gossip, err = neighbour.NewGossip(neighbour.GossipConfig{
-		Self: self, Table: r.peers, Fill: r.fill, Received: r.received, Clock: time.Now, Log: log,
+		Self: self, Listen: s.Router.Internal, Table: r.peers, Fill: r.fill, Received: r.received, Clock: time.Now, Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -162,9 +162,9 @@
 // internalSeeds turns the operators' addresses of routers into their internal
 // ones; ports are the same at all routers.
 func internalSeeds(r file.Router) ([]string, error) {
-	own, err := netip.ParseAddrPort(r.Internal)
+	own, err := netip.ParseAddrPort(r.Reached())
 	if err != nil {
-		return nil, errors.Wrap(err, "router.internal")
+		return nil, errors.Wrap(err, "router.advertise")
 	}
 	seeds := make([]string, 0, len(r.Seeds))
 	for _, seed := range r.Seeds {
--- a/internal/settings/file/router.go
+++ b/internal/settings/file/router.go
@@ -33,6 +33,9 @@
 	// Internal is the address for other routers, over TCP and UDP. The port is
 	// the same at all routers.
 	Internal string `toml:"internal"`
+	// Advertise is where other routers reach the internal address, if that differs,
+	// as behind a translation of addresses. Empty means Internal.
+	Advertise string `toml:"advertise"`
 	// Metrics is the address of counters and histograms.
 	Metrics string `toml:"metrics"`
 	// Seeds are the operators' addresses of some routers.
@@ -52,6 +55,14 @@
 	Bounds      Bounds   `toml:"bounds"`
 }
 
+// Reached returns the address at which other routers reach this one.
+func (r Router) Reached() string {
+	if r.Advertise != "" {
+		return r.Advertise
+	}
+	return r.Internal
+}
+
 // Bounds are promised to the users of a deployment; all routers together keep
 // them.
 type Bounds struct {
@@ -71,6 +82,9 @@
 	c.address("router.readiness", r.Readiness)
 	c.address("router.operators", r.Operators)
 	c.address("router.internal", r.Internal)
+	if r.Advertise != "" {
+		c.address("router.advertise", r.Advertise)
+	}
 	if r.Metrics != "" {
 		c.address("router.metrics", r.Metrics)
 	}
