Limits at desks above the time of the work; stuck requests are no queue

Ruled out: the engines' limits (no stream was refused there).

Change: limits of at least 250 ms where answers aren't streams, and a surging customer keeps 0.7 of it there; the age of waiting requests counts only when hardly any is answered.

Soak: the last server of a service stays, or nothing could be served after the faults.

--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -96,6 +96,27 @@
 	_, _ = rw.Write(standin.List(servers))
 }
 
+// leave lets a server leave, unless it is the last one of its service: without any,
+// nothing could be served after the faults.
+func (w *world) leave(b *backend, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	staying := 0
+	for _, other := range w.backends {
+		other.mu.Lock()
+		if other.service == b.service && !other.leaving {
+			staying++
+		}
+		other.mu.Unlock()
+	}
+	if staying < 2 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving, b.leftAt = true, now
+}
+
 // signature binds an answer to its request and body.
 func signature(id, body string) string {
 	h := fnv.New64a()
--- a/internal/router/queueing/estimate.go
+++ b/internal/router/queueing/estimate.go
@@ -68,9 +68,15 @@
 	e.count++
 }
 
-// age returns the mean time for which this router's requests have waited so far.
+// standstill is the number of waiting requests for each one answered lately above
+// which the service seems to stand still. Below it those that wait long are stuck at
+// a server of their own.
+const standstill = 4
+
+// age returns the mean time for which this router's requests have waited so far, if
+// hardly any is answered.
 func (e *Estimate) age(now time.Time) time.Duration {
-	if e.waiting == 0 {
+	if float64(e.waiting) <= standstill*max(1, e.count) {
 		return 0
 	}
 	return seconds(now.Sub(e.epoch).Seconds() - e.sent/float64(e.waiting))
--- a/internal/router/queueing/service.go
+++ b/internal/router/queueing/service.go
@@ -26,8 +26,10 @@
 	// take: waits differ there with the prompts, and what runs slows down every
 	// other request's events.
 	engineShare = 0.45
-	// minLimit is the least limit: below it the loss of a packet counts as a queue.
-	minLimit = 150 * time.Millisecond
+	// leastAtEngines and leastElsewhere are the least limits. Below them the time of
+	// the work itself, with the spread that it has, would count as a queue.
+	leastAtEngines = 150 * time.Millisecond
+	leastElsewhere = 250 * time.Millisecond
 	// patienceShare is the part of a caller's patience that it may spend waiting,
 	// so that there is time for the answer and for another try.
 	patienceShare = 1.0 / 3
@@ -40,8 +42,11 @@
 	// usualShare is the multiple of an even share of the requests up to which a
 	// customer is treated like the others.
 	usualShare = 2.0
-	// leastShare bounds what a customer with many requests loses.
-	leastShare = 0.4
+	// leastShareAtEngines and leastShareElsewhere bound what a customer with many
+	// requests loses; elsewhere than at engines the limit is nearer to the time of
+	// the work itself.
+	leastShareAtEngines = 0.4
+	leastShareElsewhere = 0.7
 )
 
 // Service decides for the requests of one service, as one router sees it.
@@ -56,11 +61,10 @@
 // Limit returns the wait above which a request isn't taken. A short queue serves
 // as many callers as a long one, and each of them sooner.
 func (s *Service) Limit(now time.Time, r Request) time.Duration {
-	limit := r.Objective.Seconds()
+	limit, leastShare := max(leastElsewhere.Seconds(), r.Objective.Seconds()), leastShareElsewhere
 	if r.Engine {
-		limit *= engineShare
+		limit, leastShare = max(leastAtEngines.Seconds(), engineShare*r.Objective.Seconds()), leastShareAtEngines
 	}
-	limit = max(minLimit.Seconds(), limit)
 	switch {
 	case r.Priority <= 0:
 		limit *= urgentFactor
