--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -271,7 +271,7 @@
 			"keepers", x.choice.Keepers, "fetched-from", x.choice.KeptAt)
 	}
 	if x.refusal.RetryAfter > 0 {
-		fields = append(fields, "least-wait-ms", x.refusal.Wait.Milliseconds(), "retry-after-ms", x.refusal.RetryAfter.Milliseconds())
+		fields = append(fields, "least-wait-ms", x.refusal.Wait.Milliseconds(), "limit-ms", x.refusal.Limit.Milliseconds(), "retry-after-ms", x.refusal.RetryAfter.Milliseconds())
 	}
 	if kind == bronzerill.KindNone {
 		x.cfg.Log.Info("answered", fields...)
--- a/internal/router/placing/pick.go
+++ b/internal/router/placing/pick.go
@@ -46,8 +46,9 @@
 	SentAt time.Time
 	Queue  float64
 	Wait   time.Duration
-	// RetryAfter is when a refused caller may come back, 0 where no time is known.
-	RetryAfter time.Duration
+	// RetryAfter is when a refused caller may come back, 0 where no time is known, and
+	// Limit the wait that it would have been given.
+	RetryAfter, Limit time.Duration
 	// begun is set once the request has an answer, or the first event of it.
 	begun bool
 	// Keepers is the number of servers that take work and are believed to keep the
@@ -103,7 +104,7 @@
 		return choice, nil
 	}
 	if crowd.refused > 0 {
-		return Choice{RetryAfter: queueing.RetryAfter(crowd.least, q.Request, t.random.Float64()), Wait: crowd.least},
+		return Choice{RetryAfter: queueing.RetryAfter(crowd.least, q.Request, t.random.Float64()), Wait: crowd.least, Limit: crowd.limit},
 			bronzerill.Errorf(bronzerill.KindOverloaded, "the wait would be %v at the least, above %v", crowd.least, crowd.limit)
 	}
 	return Choice{}, bronzerill.Errorf(bronzerill.KindCold, "every server of %s that takes work is cold", q.Service.Name)
