Split of placing's pick and of the group's founding; stream tests in a file of their own

Change: affinity, load bound and ejection, the founding and the tests of streams stand apart. Nothing but moves; the mutants' paths follow.

Ruled out: changing names on the way.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -91,9 +91,9 @@
 mutant "router: a server that was down keeps its prompts" $P/homes.go 's/^\tdelete\(h\.kept, server\)/\t_ = server/' $P TestEnginesOwnWord
 mutant "router: cold servers get more than they bear" $P/bucket.go 's/limit\/float64\(senders\)-1\)/limit)/' $P TestColdServers
 mutant "router: each router has the whole retry budget" $P/bucket.go 's/slack\*budgetUse\/float64\(max\(1, entries\)\)/slack*budgetUse+0*float64(entries)/' $P TestRetryBudget
-mutant "router: hot prompts aren't spread" $P/pick.go 's/return homes > 0 \&\& flow > floodLeast.*/return false/' $P TestLoadBoundUnder
+mutant "router: hot prompts aren't spread" $P/affinity.go 's/return homes > 0 \&\& flow > floodLeast.*/return false/' $P TestLoadBoundUnder
 mutant "router: reading a prompt counts as slowness" $P/outcome.go 's/if c\.Warm \{/if c.Warm || true {/' $P TestFetched
-mutant "router: every prompt counts as hot" $P/pick.go 's/if flow > floodLeast \{/if flow >= 0 {/' $P TestPromptsStayUp
+mutant "router: every prompt counts as hot" $P/bound.go 's/if flow > floodLeast \{/if flow >= 0 {/' $P TestPromptsStayUp
 mutant "router: a lost answer counts as not run" $V/client.go 's/if written == 0 \{/if written >= 0 {/' $V 'Test'
 mutant "router: answers of others are passed on" $V/client.go 's/if owns\(response\.Header\) \{/if true {/' $V TestLateAnswer
 mutant "router: a broken stream looks whole" $C/stream.go 's/if len\(held\) > 0 \{/if false {/' $C 'TestBrokenStream|TestStream'
