Names of the field: admission, predecessors, directory client

Cause: read as a newcomer, crowd, juniority and informer were words of our own.

Nothing else.

Ruled out: further moves.

--- a/internal/router/neighbour/table.go
+++ b/internal/router/neighbour/table.go
@@ -169,10 +169,10 @@
 	return rank
 }
 
-// Juniority returns the number of routers alive that come before this one: those with
+// Predecessors returns the number of routers alive that come before this one: those with
 // a disk before the others, and among equals those that started before. By clocks that
 // may differ; it only decides who goes first.
-func (t *Table) Juniority(now time.Time, disk bool) int {
+func (t *Table) Predecessors(now time.Time, disk bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := 0
--- a/internal/router/neighbour/table_test.go
+++ b/internal/router/neighbour/table_test.go
@@ -96,20 +96,20 @@
 // that the state is known, those who started first know most of the others.
 func TestFirstStartedGoesFirst(t *testing.T) {
 	table := NewTable(Peer{Name: "m", Addr: "m:1", Started: 5}, nil, 1)
-	require.Zero(t, table.Juniority(start, false))
+	require.Zero(t, table.Predecessors(start, false))
 	for name, started := range map[string]int64{"a": 5, "z": 5, "b": 9, "y": 2} {
 		d := digest(name, 1)
 		d.From.Started = started
 		table.Receive(start, d)
 	}
-	require.Equal(t, 2, table.Juniority(start, false), "a by its name, y by its start")
-	require.Zero(t, table.Juniority(start, true), "a disk goes before")
+	require.Equal(t, 2, table.Predecessors(start, false), "a by its name, y by its start")
+	require.Zero(t, table.Predecessors(start, true), "a disk goes before")
 	late := digest("late", 1)
 	late.From.Started, late.Disk = 10, true
 	table.Receive(start, late)
-	require.Equal(t, 3, table.Juniority(start, false))
-	require.Zero(t, table.Juniority(start, true))
-	require.Zero(t, table.Juniority(start.Add(aliveFor), false))
+	require.Equal(t, 3, table.Predecessors(start, false))
+	require.Zero(t, table.Predecessors(start, true))
+	require.Zero(t, table.Predecessors(start.Add(aliveFor), false))
 }
 
 func TestInformedRoutersAreAsked(t *testing.T) {
--- a/internal/router/placing/crowd.go
+++ b/internal/router/placing/admission.go
@@ -10,8 +10,8 @@
 // requests have waited lately: so few aren't a queue, but long prompts.
 const freeEngine = 6
 
-// crowd decides for one request which servers have room for it.
-type crowd struct {
+// admission decides for one request which servers have room for it.
+type admission struct {
 	service *queueing.Service
 	limit   time.Duration
 	pressed bool
@@ -21,10 +21,10 @@
 	least   time.Duration
 }
 
-func (t *Table) newCrowd(now time.Time, q Query) *crowd {
+func (t *Table) newAdmission(now time.Time, q Query) *admission {
 	service := t.queueOf(q.Service.Name)
 	limit := service.Limit(now, q.Request)
-	return &crowd{
+	return &admission{
 		service: service, limit: limit, engine: q.Service.Engine,
 		pressed: q.Request.Patience > 0 && service.IsPressed(now, limit),
 	}
@@ -32,23 +32,23 @@
 
 // hasRoom reports whether a request would be answered at a server within its
 // limit.
-func (c *crowd) hasRoom(now time.Time, r *record) bool {
-	if !c.pressed {
+func (a *admission) hasRoom(now time.Time, r *record) bool {
+	if !a.pressed {
 		return true
 	}
 	free := float64(r.Slots)
-	if c.engine {
+	if a.engine {
 		free = freeEngine
 	}
 	queue := r.queue()
-	wait := c.service.Wait(now, queue)
-	if queue < free || wait <= c.limit {
+	wait := a.service.Wait(now, queue)
+	if queue < free || wait <= a.limit {
 		return true
 	}
-	if c.refused == 0 || wait < c.least {
-		c.least = wait
+	if a.refused == 0 || wait < a.least {
+		a.least = wait
 	}
-	c.refused++
+	a.refused++
 	return false
 }
 
--- a/internal/router/placing/pick.go
+++ b/internal/router/placing/pick.go
@@ -81,18 +81,18 @@
 	} else {
 		t.orderByWait(able)
 	}
-	crowd := t.newCrowd(now, q)
+	room := t.newAdmission(now, q)
 	for rank, r := range able {
-		if !crowd.hasRoom(now, r) || !t.mayTake(now, r, q.Service) {
+		if !room.hasRoom(now, r) || !t.mayTake(now, r, q.Service) {
 			continue
 		}
 		choice := Choice{
 			Server: r.Server, Load: r.inFlight(), Mean: mean, Bound: bound, Rank: rank, ListAge: now.Sub(t.listAt), Cold: r.isCold(now),
-			Warm: !q.Service.Engine || q.Affinity == 0, SentAt: now, Queue: r.queue(), Wait: crowd.service.Wait(now, r.queue()),
+			Warm: !q.Service.Engine || q.Affinity == 0, SentAt: now, Queue: r.queue(), Wait: room.service.Wait(now, r.queue()),
 		}
 		r.own++
 		r.waiting++
-		crowd.service.Send(now)
+		room.service.Send(now)
 		if q.Service.Engine && q.Affinity != 0 {
 			homes := t.homes.Get(now, q.Affinity)
 			choice.Keepers = countKeepers(able, homes)
@@ -102,9 +102,9 @@
 		}
 		return choice, nil
 	}
-	if crowd.refused > 0 {
-		return Choice{RetryAfter: queueing.RetryAfter(crowd.least, q.Request, t.random.Float64()), Wait: crowd.least, Limit: crowd.limit},
-			bronzerill.Errorf(bronzerill.KindOverloaded, "the wait would be %v at the least, above %v", crowd.least, crowd.limit)
+	if room.refused > 0 {
+		return Choice{RetryAfter: queueing.RetryAfter(room.least, q.Request, t.random.Float64()), Wait: room.least, Limit: room.limit},
+			bronzerill.Errorf(bronzerill.KindOverloaded, "the wait would be %v at the least, above %v", room.least, room.limit)
 	}
 	return Choice{}, bronzerill.Errorf(bronzerill.KindCold, "every server of %s that takes work is cold", q.Service.Name)
 }
--- a/internal/run/router/informer.go
+++ b/internal/run/router/directory.go
@@ -19,26 +19,26 @@
 
 // Timing and bounds of informing a router that has just started.
 const (
-	// informTick is the pause between looks for someone who knows.
-	informTick = 20 * time.Millisecond
-	// settle is how long after its start a router waits for digests of others
+	// directoryTick is the pause between looks for someone who knows.
+	directoryTick = 20 * time.Millisecond
+	// directorySettle is how long after its start a router waits for digests of others
 	// before it takes its turn at the engines: two rounds of digests.
-	settle = 200 * time.Millisecond
-	// informStep is added for each router that comes before this one, so that one
+	directorySettle = 200 * time.Millisecond
+	// directoryStep is added for each router that comes before this one, so that one
 	// asks the engines and the others ask that one. All engines' lists are some
 	// megabytes on a large site, so routers with a disk and its wider link go first.
-	informStep = 150 * time.Millisecond
-	// maxInformWait bounds the wait for one's turn.
-	maxInformWait = time.Second
+	directoryStep = 150 * time.Millisecond
+	// maxDirectoryWait bounds the wait for one's turn.
+	maxDirectoryWait = time.Second
 	// engineTimeout bounds one engine's answer.
 	engineTimeout = 500 * time.Millisecond
 	// enginesAtOnce bounds the engines that are asked side by side.
 	enginesAtOnce = 8
 )
 
-// informer learns which prompts the engines keep. That is soft state of all
+// directoryClient learns which prompts the engines keep. That is soft state of all
 // routers together; when all of them were down at once, the engines still know.
-type informer struct {
+type directoryClient struct {
 	router    *Router
 	client    *http.Client
 	informed  atomic.Bool
@@ -47,60 +47,60 @@
 	ableAt time.Time
 }
 
-func newInformer(now time.Time, r *Router) *informer {
-	return &informer{router: r, startedAt: now, client: &http.Client{
+func newDirectoryClient(now time.Time, r *Router) *directoryClient {
+	return &directoryClient{router: r, startedAt: now, client: &http.Client{
 		Timeout: engineTimeout, Transport: &http.Transport{DisableKeepAlives: true},
 	}}
 }
 
-func (i *informer) run(ctx context.Context) error {
-	tick := time.NewTicker(informTick)
+func (c *directoryClient) run(ctx context.Context) error {
+	tick := time.NewTicker(directoryTick)
 	defer tick.Stop()
-	for !i.informed.Load() {
+	for !c.informed.Load() {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			i.look(ctx, time.Now())
+			c.look(ctx, time.Now())
 		}
 	}
 	return nil
 }
 
 // look asks a router that knows, or the engines if it is this router's turn.
-func (i *informer) look(ctx context.Context, now time.Time) {
-	r := i.router
+func (c *directoryClient) look(ctx context.Context, now time.Time) {
+	r := c.router
 	table := r.holder.Table()
 	if _, listed := r.servers.ListAge(now); table == nil || !listed {
 		return
 	}
-	if i.ableAt.IsZero() {
-		i.ableAt = now
+	if c.ableAt.IsZero() {
+		c.ableAt = now
 	}
 	if informed := r.peers.Informed(now); len(informed) > 0 {
-		i.askRouter(ctx, informed[0])
+		c.askRouter(ctx, informed[0])
 		return
 	}
-	turn := min(maxInformWait, time.Duration(r.peers.Juniority(now, r.settings.Router.DataFolder != ""))*informStep)
-	if now.Sub(i.startedAt) >= settle && now.Sub(i.ableAt) >= turn {
-		i.askEngines(ctx, now, table)
+	turn := min(maxDirectoryWait, time.Duration(r.peers.Predecessors(now, r.settings.Router.DataFolder != ""))*directoryStep)
+	if now.Sub(c.startedAt) >= directorySettle && now.Sub(c.ableAt) >= turn {
+		c.askEngines(ctx, now, table)
 	}
 }
 
-func (i *informer) askRouter(ctx context.Context, addr string) {
+func (c *directoryClient) askRouter(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, neighbour.CallTimeout)
 	defer cancel()
 	var reply neighbour.DirectoryReply
-	if err := i.router.clients.Call(ctx, addr, "Directory", &neighbour.DirectoryRequest{}, &reply); err != nil {
-		i.router.log.Warn("directory of prompts not fetched", "from", addr, "error", err.Error())
+	if err := c.router.clients.Call(ctx, addr, "Directory", &neighbour.DirectoryRequest{}, &reply); err != nil {
+		c.router.log.Warn("directory of prompts not fetched", "from", addr, "error", err.Error())
 		return
 	}
-	i.take(reply.Directory, addr, 0)
+	c.take(reply.Directory, addr, 0)
 }
 
 // askEngines asks every engine that takes work. Those that don't answer are left
 // out: their prompts are learned as requests are placed there.
-func (i *informer) askEngines(ctx context.Context, now time.Time, table *declared.Table) {
+func (c *directoryClient) askEngines(ctx context.Context, now time.Time, table *declared.Table) {
 	isEngine := func(name string) bool {
 		service, ok := table.Service(name)
 		return ok && service.Engine != nil
@@ -112,18 +112,18 @@
 		tasks  errgroup.Group
 	)
 	tasks.SetLimit(enginesAtOnce)
-	for _, engine := range i.router.servers.Engines(now, isEngine, table.IsZoneOut) {
+	for _, engine := range c.router.servers.Engines(now, isEngine, table.IsZoneOut) {
 		tasks.Go(func() error {
-			parts, broken, err := i.router.adapter.Kept(ctx, i.client, engine.Addr)
+			parts, broken, err := c.router.adapter.Kept(ctx, c.client, engine.Addr)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
 				failed++
-				i.router.log.Warn("engine not asked for its prompts", "server", engine.ID, "error", err.Error())
+				c.router.log.Warn("engine not asked for its prompts", "server", engine.ID, "error", err.Error())
 				return nil
 			}
 			if broken > 0 {
-				i.router.log.Warn("engine's prompts partly unreadable", "server", engine.ID, "broken-entries", broken)
+				c.router.log.Warn("engine's prompts partly unreadable", "server", engine.ID, "broken-entries", broken)
 			}
 			d.Kept = append(d.Kept, placing.NewKept(placing.KeyOf(engine.ID), largest(parts)))
 			return nil
@@ -131,7 +131,7 @@
 	}
 	// The tasks report their errors in the log.
 	_ = tasks.Wait()
-	i.take(d, "engines", failed)
+	c.take(d, "engines", failed)
 }
 
 // maxKeptParts bounds the parts that are remembered of one engine. Most that it keeps
@@ -148,12 +148,12 @@
 	return keys
 }
 
-func (i *informer) take(d placing.Directory, source string, failed int) {
-	i.router.servers.TakeDirectory(time.Now(), d)
-	i.informed.Store(true)
+func (c *directoryClient) take(d placing.Directory, source string, failed int) {
+	c.router.servers.TakeDirectory(time.Now(), d)
+	c.informed.Store(true)
 	prompts := 0
 	for _, k := range d.Kept {
 		prompts += len(k.Prompts)
 	}
-	i.router.log.Info("directory of prompts taken", "from", source, "homes", len(d.Homes), "engines", len(d.Kept), "kept-prompts", prompts, "engines-failed", failed)
+	c.router.log.Info("directory of prompts taken", "from", source, "homes", len(d.Homes), "engines", len(d.Kept), "kept-prompts", prompts, "engines-failed", failed)
 }
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -44,20 +44,20 @@
 
 // Router is a running router.
 type Router struct {
-	settings file.Settings
-	path     string
-	adapter  platform.Adapter
-	log      hclog.Logger
-	peers    *neighbour.Table
-	clients  *neighbour.Clients
-	gossip   *neighbour.Gossip
-	servers  *placing.Table
-	client   *server.Client
-	handler  *caller.Handler
-	holder   *holder
-	group    *group
-	list     *poller
-	prompts  *informer
+	settings  file.Settings
+	path      string
+	adapter   platform.Adapter
+	log       hclog.Logger
+	peers     *neighbour.Table
+	clients   *neighbour.Clients
+	gossip    *neighbour.Gossip
+	servers   *placing.Table
+	client    *server.Client
+	handler   *caller.Handler
+	holder    *holder
+	group     *group
+	list      *poller
+	directory *directoryClient
 	// callers is the port for callers.
 	callers  *http.Server
 	stopping atomic.Bool
@@ -141,7 +141,7 @@
 	}
 	r.holder.changed = r.gossip.Prompt
 	r.list = newPoller(r)
-	r.prompts = newInformer(now, r)
+	r.directory = newDirectoryClient(now, r)
 	r.group = newGroup(r, secret)
 	r.handler = caller.NewHandler(caller.Config{
 		Dialect: adapter, Servers: r.servers, Client: r.client, Routes: r.holder.Table, Clock: time.Now, Log: log,
@@ -195,7 +195,7 @@
 	tasks.Go(func() error { return r.holder.runCompile(ctx) })
 	tasks.Go(func() error { return r.holder.runFetch(ctx, r) })
 	tasks.Go(func() error { return r.list.run(ctx) })
-	tasks.Go(func() error { return r.prompts.run(ctx) })
+	tasks.Go(func() error { return r.directory.run(ctx) })
 	tasks.Go(func() error { return r.keepRemembered(ctx) })
 	tasks.Go(func() error { return ticker.Every(ctx, houseInterval, r.keepHouse) })
 	return r.startWeb(ctx, tasks)
@@ -224,7 +224,7 @@
 	d.Revision = r.holder.Revision()
 	d.Leader, d.Term = r.group.leader(now)
 	d.ListAge, d.ListSum = r.list.age(now)
-	d.Informed = r.prompts.informed.Load()
+	d.Informed = r.directory.informed.Load()
 	d.Disk = r.settings.Router.DataFolder != ""
 	*d = d.WithObservations(r.servers.Observations(now))
 	if d.Whole {
--- a/internal/run/router/router_test.go
+++ b/internal/run/router/router_test.go
@@ -258,7 +258,7 @@
 	w.stop = append(w.stop, nil)
 	w.start(3, "", false)
 	for i, r := range w.routes {
-		require.Eventually(t, r.prompts.informed.Load, patience, 20*time.Millisecond, "router %d", i)
+		require.Eventually(t, r.directory.informed.Load, patience, 20*time.Millisecond, "router %d", i)
 		kept := r.servers.Directory(time.Now()).Kept
 		require.Len(t, kept, 1)
 		require.Len(t, kept[0].Prompts, 2)
