Log which parts a broken request held and whether its answer had begun

'attempt failed' now has customer, print, parts and began; 'server crashed' names the suspects, and the event server-crash counts it.

--- a/internal/router/caller/dialect.go
+++ b/internal/router/caller/dialect.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// SharedParts returns the IDs of the parts that other requests may share. The last part
+// belongs only to this request.
+func (r RequestInfo) SharedParts() []uint64 {
+	if len(r.Prompt) == 0 {
+		return nil
+	}
+	ids := make([]uint64, 0, len(r.Prompt)-1)
+	for _, part := range r.Prompt[:len(r.Prompt)-1] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // ForwardOptions is what the router adds to a request that it forwards to a server.
 type ForwardOptions struct {
 	// Server is the ID of the only server that may run the request.
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -171,12 +171,15 @@
 	}
 	e.choice = choice
 	e.tried = append(e.tried, choice.ID)
+	e.answerBegan = false
 	latency := time.Duration(0)
 	a := e.send(ctx, now, &latency)
 	if e.r.Context().Err() != nil {
 		a.outcome = placement.OutcomeNone
 	}
-	e.cfg.Servers.Finish(e.cfg.Clock(), e.choice, e.route.Name, a.outcome, latency)
+	if suspects := e.cfg.Servers.Finish(e.cfg.Clock(), e.choice, e.route.Name, a.outcome, latency); len(suspects) > 0 {
+		e.logCrash(e.choice.Server, suspects)
+	}
 	return a, nil
 }
 
@@ -271,7 +274,7 @@
 func (e *exchange) forwardResponse(response *server.Response, now time.Time, latency *time.Duration) attempt {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
 	if err != nil {
-		return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed}
+		return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: err.Error()}
 	}
 	*latency = e.cfg.Clock().Sub(now)
 	e.cfg.Servers.ResponseStarted(e.cfg.Clock(), &e.choice)
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -113,6 +113,8 @@
 	choice placement.Choice
 	// refusal explains why the last pick failed, if it did.
 	refusal placement.Choice
+	// answerBegan is set once the last picked server has sent part of a response body.
+	answerBegan bool
 	// headWritten is set once the response header is sent to the caller.
 	headWritten bool
 	// lastEventID is the ID of the last complete event sent to the caller.
@@ -238,9 +240,19 @@
 	}
 	e.cfg.Log.Info("attempt failed", "request", e.request.ID, "server", e.choice.ID, "attempt", len(e.tried),
 		"outcome", a.kind.String(), "run", a.run.String(), "status", status, "detail", a.detail,
+		"customer", e.customerName(), "print", uint64(e.fingerprint), "parts", e.request.SharedParts(), "began", e.answerBegan,
 		"ms", e.cfg.Clock().Sub(e.start).Milliseconds())
 }
 
+// logCrash logs that a server was found down while it had requests of this router, and
+// the suspects among these.
+func (e *exchange) logCrash(server placement.Server, suspects []placement.Fingerprint) {
+	metrics.Count(metrics.EventCrash)
+	if e.failedLog.Allow(e.cfg.Clock()) {
+		e.cfg.Log.Warn("server crashed", "server", server.ID, "service", server.Service, "suspects", suspects)
+	}
+}
+
 // logOutcome logs the outcome of the request, with the loads and waiting times by
 // which its server was picked or the request was refused.
 func (e *exchange) logOutcome(kind bronzerill.Kind, status int) {
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -112,6 +112,7 @@
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			e.answerBegan = true
 			if *latency == 0 {
 				*latency = e.cfg.Clock().Sub(now)
 				e.cfg.Servers.ResponseStarted(e.cfg.Clock(), &e.choice)
@@ -133,7 +134,7 @@
 		}
 		if err != nil {
 			e.reportLost()
-			return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed}
+			return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: err.Error()}
 		}
 	}
 }
@@ -151,7 +152,7 @@
 func (e *exchange) finishStream(response *server.Response, controller *http.ResponseController, pending []byte) attempt {
 	if len(pending) > 0 {
 		// The response ended in the middle of an event.
-		return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed}
+		return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: "ended inside an event"}
 	}
 	if !e.headWritten && !e.forwardEvents(response, controller, nil) {
 		return attempt{kind: bronzerill.KindCanceled, run: bronzerill.RunDone, outcome: placement.OutcomeNone}
--- a/internal/router/placement/outcome.go
+++ b/internal/router/placement/outcome.go
@@ -28,14 +28,15 @@
 )
 
 // Finish records the end of a request that Pick counted. The latency is the time to
-// the first event or to the complete response.
-func (t *Table) Finish(now time.Time, c Choice, route string, outcome Outcome, latency time.Duration) {
+// the first event or to the complete response. If the server was found down, Finish
+// returns the requests that count as suspects of its crash.
+func (t *Table) Finish(now time.Time, c Choice, route string, outcome Outcome, latency time.Duration) []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.servers[c.ID]
 	if !ok {
 		t.discardWait(now, &record{}, &c)
-		return
+		return nil
 	}
 	r.ownInFlight = max(0, r.ownInFlight-1)
 	t.discardWait(now, r, &c)
@@ -57,9 +58,10 @@
 		r.downUntil = now.Add(backoff)
 		r.confirmedUp = false
 		t.locations.Forget(r.key)
-		t.suspects.ServerDown(now, r.ID)
+		return t.suspects.ServerDown(now, r.ID)
 	case OutcomeNone:
 	}
+	return nil
 }
 
 // ResponseStarted records the first event or the complete response of a request
--- a/internal/router/placement/suspects.go
+++ b/internal/router/placement/suspects.go
@@ -82,8 +82,9 @@
 }
 
 // ServerDown records that a server was found down. Requests that recently lost a
-// connection to it become suspects.
-func (s *Suspects) ServerDown(now time.Time, server string) {
+// connection to it become suspects, and are returned.
+func (s *Suspects) ServerDown(now time.Time, server string) []Fingerprint {
+	var suspects []Fingerprint
 	remaining := s.pending[:0]
 	for _, l := range s.pending {
 		if l.server != server {
@@ -96,9 +97,11 @@
 				c.count = 0
 			}
 			s.own.Add(l.fingerprint, crashCount{c.count + 1, now})
+			suspects = append(suspects, l.fingerprint)
 		}
 	}
 	s.pending = remaining
+	return suspects
 }
 
 // SetPeer stores a peer's counts.
