--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
@@ -32,12 +33,16 @@
 
 func (testDialect) ParseRequest(h http.Header) RequestInfo {
 	ms, _ := strconv.Atoi(h.Get("Timeout"))
-	return RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("Resume")}
+	var prompt []PromptPart
+	for _, part := range strings.FieldsFunc(h.Get("Prompt"), func(r rune) bool { return r == ',' }) {
+		prompt = append(prompt, PromptPart{ID: xxhash.Sum64String(part), Tokens: 1})
+	}
+	return RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, Prompt: prompt, ResumeAfter: h.Get("Resume")}
 }
 
 func (testDialect) ForwardHeader(h http.Header, o ForwardOptions) http.Header {
 	return http.Header{
-		"Id": h["Id"], "Server": {o.Server}, "Customer": {o.Customer}, "Resume": {o.ResumeAfter},
+		"Id": h["Id"], "Prompt": h["Prompt"], "Server": {o.Server}, "Customer": {o.Customer}, "Resume": {o.ResumeAfter},
 		"Timeout": {strconv.FormatInt(o.Remaining.Milliseconds(), 10)},
 	}
 }
