Find a crashed server at once: dial it when it breaks a connection

One of two causes: a router counted a crash only if another of its requests happened to go to that server within 2 s and was refused.

Now a router that loses a connection during a request dials the server; nothing listens there: it is down, at once, for the other requests too. If it accepts, the connection goes to the pool. No dial if the router closed the connection itself (silence, deadline).

Ruled out: waiting longer than 2 s (servers are back after 3 s), asking the list (it lags by 0.8 s and shows crashed servers for seconds).

TestCrashIsFoundWithoutAnotherRequestToTheServer fails before: the log has no 'server crashed'.

--- a/internal/router/caller/crash_test.go
+++ b/internal/router/caller/crash_test.go
@@ -83,3 +83,9 @@
 		})
 	}
 }
+
+func TestCrashIsFoundWithoutAnotherRequestToTheServer(t *testing.T) {
+	servers := newCrashingServers(t, 2)
+	servers.send("/stream/x", "common,deadly,own")
+	require.Contains(t, servers.logged.String(), "server crashed")
+}
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -198,7 +198,7 @@
 	defer timer.stop()
 	response, err := e.cfg.Client.Do(attemptCtx, e.newCall(now))
 	if err != nil {
-		return e.failedCall(err)
+		return e.failedCall(attemptCtx, err)
 	}
 	defer func() { _ = response.Body.Close() }() // the body has been read, or the connection is discarded
 	e.cfg.Servers.ConfirmUp(e.cfg.Clock(), e.choice, e.service.ColdStart)
@@ -208,9 +208,9 @@
 	}
 	e.runs++
 	if e.route.Kind == declared.Stream && response.Status < http.StatusMultipleChoices {
-		return e.forwardStream(response, timer, now, latency)
+		return e.forwardStream(attemptCtx, response, timer, now, latency)
 	}
-	return e.forwardResponse(response, now, latency)
+	return e.forwardResponse(attemptCtx, response, now, latency)
 }
 
 func (e *exchange) refusedAttempt(info ResponseInfo) attempt {
@@ -223,7 +223,7 @@
 }
 
 // failedCall classifies a call that got no response.
-func (e *exchange) failedCall(err error) attempt {
+func (e *exchange) failedCall(ctx context.Context, err error) attempt {
 	var callErr *server.Error
 	if !errors.As(err, &callErr) {
 		return attempt{kind: bronzerill.KindInternal, run: bronzerill.RunUnknown, outcome: placement.OutcomeFailed}
@@ -232,15 +232,24 @@
 		return attempt{kind: bronzerill.KindUnreachable, run: bronzerill.RunNot, outcome: placement.OutcomeUnreachable, detail: err.Error()}
 	}
 	e.runs++
-	e.reportLost()
+	e.reportLost(ctx)
 	return attempt{kind: bronzerill.KindServerFailed, run: bronzerill.RunUnknown, outcome: placement.OutcomeFailed, detail: err.Error()}
 }
 
-// reportLost reports a connection that broke while the server ran the request. It
-// ignores breaks caused by the caller's disconnect or by the deadline.
-func (e *exchange) reportLost() {
-	if now := e.cfg.Clock(); e.r.Context().Err() == nil && now.Before(e.deadline) {
-		e.cfg.Servers.ConnectionLost(now, e.fingerprint, e.choice)
+// reportLost reports a connection that broke while the server ran the request, and checks
+// whether the server has crashed. It ignores breaks caused by the caller's disconnect or by
+// the deadline. The context is done if the router closed the connection itself.
+func (e *exchange) reportLost(ctx context.Context) {
+	now := e.cfg.Clock()
+	if e.r.Context().Err() != nil || !now.Before(e.deadline) {
+		return
+	}
+	e.cfg.Servers.ConnectionLost(now, e.fingerprint, e.choice)
+	if ctx.Err() != nil {
+		return
+	}
+	if e.cfg.Servers.IsDown(now, e.choice) || e.cfg.Client.IsRefused(ctx, e.choice.Addr) {
+		e.logCrash(e.choice.Server, e.cfg.Servers.ServerDown(e.cfg.Clock(), e.choice))
 	}
 }
 
@@ -271,9 +280,10 @@
 }
 
 // forwardResponse reads a response that isn't a stream and forwards it.
-func (e *exchange) forwardResponse(response *server.Response, now time.Time, latency *time.Duration) attempt {
+func (e *exchange) forwardResponse(ctx context.Context, response *server.Response, now time.Time, latency *time.Duration) attempt {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
 	if err != nil {
+		e.reportLost(ctx)
 		return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: err.Error()}
 	}
 	*latency = e.cfg.Clock().Sub(now)
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -101,7 +101,7 @@
 
 // forwardStream forwards events as they arrive. It forwards only complete events of a
 // resumable stream, since another server resumes the stream after a complete event.
-func (e *exchange) forwardStream(response *server.Response, timer *silenceTimer, now time.Time, latency *time.Duration) attempt {
+func (e *exchange) forwardStream(ctx context.Context, response *server.Response, timer *silenceTimer, now time.Time, latency *time.Duration) attempt {
 	info := e.cfg.Dialect.ParseResponse(response.Status, response.Header)
 	if !info.Signed && !e.headWritten {
 		return attempt{kind: bronzerill.KindCrossed, run: bronzerill.RunDone, outcome: placement.OutcomeFailed}
@@ -133,7 +133,7 @@
 			return e.finishStream(response, controller, pending)
 		}
 		if err != nil {
-			e.reportLost()
+			e.reportLost(ctx)
 			return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: err.Error()}
 		}
 	}
--- a/internal/router/placement/outcome.go
+++ b/internal/router/placement/outcome.go
@@ -53,11 +53,7 @@
 	case OutcomeFailed, OutcomeRefused:
 		r.observations.add(now, true, 0)
 	case OutcomeUnreachable:
-		r.failedDials++
-		backoff := min(maxBackoff, initialBackoff<<min(r.failedDials-1, 4))
-		r.downUntil = now.Add(backoff)
-		r.confirmedUp = false
-		t.locations.Forget(r.key)
+		t.markDown(now, r)
 		return t.suspects.ServerDown(now, r.ID)
 	case OutcomeNone:
 	}
@@ -95,6 +91,33 @@
 	t.suspects.ConnectionLost(now, fingerprint, c.ID)
 }
 
+// IsDown reports whether a server was found down a short time ago.
+func (t *Table) IsDown(now time.Time, c Choice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.servers[c.ID]
+	return ok && now.Before(r.downUntil)
+}
+
+// ServerDown records that nothing listens at the address of a server after it broke a
+// connection. It returns the requests that count as suspects of the crash.
+func (t *Table) ServerDown(now time.Time, c Choice) []Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.servers[c.ID]; ok && !now.Before(r.downUntil) {
+		t.markDown(now, r)
+	}
+	return t.suspects.ServerDown(now, c.ID)
+}
+
+// markDown excludes a server until the next connection attempt is due.
+func (t *Table) markDown(now time.Time, r *record) {
+	r.failedDials++
+	r.downUntil = now.Add(min(maxBackoff, initialBackoff<<min(r.failedDials-1, 4)))
+	r.confirmedUp = false
+	t.locations.Forget(r.key)
+}
+
 // IsQuarantined reports whether a request has crashed too many servers.
 func (t *Table) IsQuarantined(now time.Time, fingerprint Fingerprint) bool {
 	t.mu.Lock()
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -153,6 +153,17 @@
 	return conn, true, nil
 }
 
+// IsRefused reports whether nothing listens at an address. If the server accepts the
+// connection, later calls use it.
+func (c *Client) IsRefused(ctx context.Context, addr string) bool {
+	conn, err := dial(ctx, addr, firstDialTimeout)
+	if err != nil {
+		return ctx.Err() == nil && !isTimeout(err)
+	}
+	c.pool.put(c.cfg.Clock(), conn)
+	return false
+}
+
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
