Bound the bytes of a response header and of responses to other requests

Callers saw nothing yet: the users announce that bytes that are no answer may come without end, in a head or a body. Cause: http.ReadResponse reads a header of any size, interim responses were skipped without a count, and the body of a response to another request was read to its end; the router would grow until it is killed for its memory.

Now a header with the interim responses before it has 64 KiB and a skipped body 1 MiB; the call fails and its connection is closed.

--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -192,6 +192,7 @@
 // readResponse returns the response that belongs to the call and skips others.
 func (c *Client) readResponse(conn *clientConn, request *http.Request, matches func(http.Header) bool) (*http.Response, error) {
 	foreign := 0
+	conn.limited.remaining = maxHeadBytes
 	for {
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
@@ -200,6 +201,7 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		conn.limited.remaining = unlimited
 		if matches(response.Header) {
 			return response, nil
 		}
@@ -207,9 +209,14 @@
 		if foreign > maxForeignResponses {
 			return nil, errors.New("too many responses to other requests")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
+		if err != nil {
 			return nil, errors.Wrap(err, "skip response to another request")
 		}
+		if n == maxSkippedBytes {
+			return nil, errors.New("response to another request too large")
+		}
+		conn.limited.remaining = maxHeadBytes
 	}
 }
 
--- a/internal/router/server/conn.go
+++ b/internal/router/server/conn.go
@@ -48,8 +48,10 @@
 // clientConn is one connection to a server.
 type clientConn struct {
 	net.Conn
-	reader *bufio.Reader
-	addr   string
+	// reader reads from limited.
+	reader  *bufio.Reader
+	limited *limitedReader
+	addr    string
 	// usableUntil is when the server may close the connection for being idle.
 	usableUntil time.Time
 	idleSince   time.Time
@@ -162,7 +164,8 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return &clientConn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), addr: addr, usableUntil: farFuture}, nil
+	limited := &limitedReader{Reader: c, remaining: unlimited}
+	return &clientConn{Conn: c, reader: bufio.NewReaderSize(limited, readBuffer), limited: limited, addr: addr, usableUntil: farFuture}, nil
 }
 
 // farFuture is the idle deadline for servers that announce no idle timeout.
--- /dev/null
+++ b/internal/router/server/limit.go
@@ -0,0 +1,39 @@
+package server
+
+import (
+	"io"
+	"math"
+
+	"github.com/pkg/errors"
+)
+
+// Limits of what a server may send besides the body of the response. A faulty server can
+// send bytes without end.
+const (
+	// maxHeadBytes is the maximum size of a response header, with the interim responses
+	// before it.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes is the maximum size of the body of a response to another request.
+	maxSkippedBytes = 1 << 20
+	// unlimited stands for no limit.
+	unlimited = math.MaxInt64
+)
+
+// limitedReader fails after a number of bytes. Unlike io.LimitedReader it doesn't report an
+// ordinary end.
+type limitedReader struct {
+	io.Reader
+	remaining int64
+}
+
+// Read reads at most the remaining bytes.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.remaining <= 0 {
+		return 0, errors.New("response header too large")
+	}
+	n, err := r.Reader.Read(p[:min(int64(len(p)), r.remaining)])
+	if r.remaining != unlimited {
+		r.remaining -= int64(n)
+	}
+	return n, err
+}
