A stream that ends inside an event is broken off, not complete

Callers would have seen a cut answer that looks complete: a server that crashes while it sends a response without a length or chunks ends it like a complete one, and for streams that aren't resumable the router looked at the framing only. (Class: the end of the transport taken for the end of the message.) Now the router follows the events of every stream; one that ends inside an event ends with a broken connection. Responses on a streaming route that have a length or chunks and no events pass as before.

--- /dev/null
+++ b/internal/router/caller/broken_test.go
@@ -0,0 +1,53 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// sendUnframed sends a response without a length or chunks, which ends with its connection.
+func sendUnframed(w http.ResponseWriter, r *http.Request, contentType, body string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nSignature: s\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
+	_ = conn.Close()
+}
+
+func TestStreamThatEndsInsideEventIsBroken(t *testing.T) {
+	unframed := func(body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) { sendUnframed(w, r, "text/event-stream", body) }
+	}
+	tests := []struct {
+		name    string
+		backend http.HandlerFunc
+		body    string
+		broken  bool
+	}{
+		{"without framing, complete", unframed(eventText(1, 3)), eventText(1, 3), false},
+		{"without framing, complete, with carriage returns", unframed("id: 1\r\ndata: 1\r\n\r\n"), "id: 1\r\ndata: 1\r\n\r\n", false},
+		{"without framing, inside an event", unframed(eventText(1, 2) + "id: 3\nda"), eventText(1, 2) + "id: 3\nda", true},
+		{"without framing, at the end of a line", unframed(eventText(1, 2) + "id: 3\n"), eventText(1, 2) + "id: 3\n", true},
+		{"chunked, inside an event", func(w http.ResponseWriter, r *http.Request) {
+			sendEvents(w, r, 1, 2)
+			_, _ = io.WriteString(w, "id: 3\nda")
+		}, eventText(1, 2) + "id: 3\nda", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			status, body, err := newTestRouter(t, test.backend).call("/stream/x")
+			require.Equal(t, 200, status)
+			require.Equal(t, test.body, body)
+			if test.broken {
+				require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			} else {
+				require.NoError(t, err)
+			}
+		})
+	}
+}
+
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -262,16 +262,22 @@
 	if e.answerBeganAt.IsZero() || now.Sub(e.answerBeganAt) < answerGrace {
 		e.cfg.Servers.ConnectionLost(now, e.choice, e.fingerprint, e.prints[1:]...)
 	}
+	e.checkCrash(ctx, now)
+}
+
+// checkCrash reports whether nothing listens at the address of the server any more.
+func (e *exchange) checkCrash(ctx context.Context, now time.Time) bool {
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	known := e.cfg.Servers.IsDown(now, e.choice)
 	if !known && !e.cfg.Client.IsRefused(ctx, e.choice.Addr) {
-		return
+		return false
 	}
 	if suspects := e.cfg.Servers.ServerDown(e.cfg.Clock(), e.choice); !known || len(suspects) > 0 {
 		e.logCrash(e.choice.Server, suspects)
 	}
+	return true
 }
 
 func (e *exchange) newCall(now time.Time) server.Call {
@@ -303,9 +309,10 @@
 // forwardResponse reads a response that isn't a stream and forwards it.
 func (e *exchange) forwardResponse(ctx context.Context, response *server.Response, now time.Time, latency *time.Duration) attempt {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
-	if err != nil {
+	switch {
+	case err != nil:
 		e.reportLost(ctx)
-		return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: err.Error()}
+		return truncated(err.Error())
 	}
 	*latency = e.cfg.Clock().Sub(now)
 	e.cfg.Servers.ResponseStarted(e.cfg.Clock(), &e.choice)
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -93,81 +94,136 @@
 	return e.route.MayRepeat() && runs < e.route.MaxAttempts
 }
 
-// eventSeparator ends each event of a stream.
-var eventSeparator = []byte("\n\n")
-
 // streamBufferSize is the size of the read buffer, in bytes.
 const streamBufferSize = 8 << 10
 
-// forwardStream forwards events as they arrive. It forwards only complete events of a
-// resumable stream, since another server resumes the stream after a complete event.
-func (e *exchange) forwardStream(ctx context.Context, response *server.Response, timer *silenceTimer, now time.Time, latency *time.Duration) attempt {
+// eventScanner finds the ends of the events in a stream. An empty line ends an event.
+type eventScanner struct {
+	// open is the number of bytes since the last complete event.
+	open int
+	// lineEnded is set after the end of a line.
+	lineEnded bool
+}
+
+// scan reads the next bytes and returns how many of them belong to complete events.
+func (s *eventScanner) scan(data []byte) int {
+	complete := 0
+	for i, b := range data {
+		switch {
+		case b == '\r':
+		case b != '\n':
+			s.lineEnded = false
+		case s.lineEnded || s.open == 0:
+			s.open = 0
+			complete = i + 1
+			continue
+		default:
+			s.lineEnded = true
+		}
+		s.open++
+	}
+	return complete
+}
+
+// stream is a response that is forwarded while it arrives.
+type stream struct {
+	*exchange
+	response   *server.Response
+	controller *http.ResponseController
+	timer      *silenceTimer
+	scanner    eventScanner
+	// pending holds the start of an event of a resumable stream. Only complete events are
+	// forwarded there, since another server resumes the stream after a complete event.
+	pending []byte
+	// sentAt is when the request was sent.
+	sentAt time.Time
+	// survived is set once the answer shows that the server survives the request.
+	survived bool
+}
+
+// forwardStream forwards events as they arrive.
+func (e *exchange) forwardStream(ctx context.Context, response *server.Response, timer *silenceTimer, sentAt time.Time, latency *time.Duration) attempt {
 	info := e.cfg.Dialect.ParseResponse(response.Status, response.Header)
 	if !info.Signed && !e.headWritten {
 		return attempt{kind: bronzerill.KindCrossed, run: bronzerill.RunDone, outcome: placement.OutcomeFailed}
 	}
-	controller := http.NewResponseController(e.w)
-	var pending []byte
-	survived := false
+	s := &stream{exchange: e, response: response, controller: http.NewResponseController(e.w), timer: timer, sentAt: sentAt}
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
-			if *latency == 0 {
-				e.answerBeganAt = e.cfg.Clock()
-				*latency = e.answerBeganAt.Sub(now)
-				e.cfg.Servers.ResponseStarted(e.cfg.Clock(), &e.choice)
-				metrics.FirstToken.Record(*latency)
-			}
-			if !survived && e.cfg.Clock().Sub(e.answerBeganAt) >= answerGrace {
-				survived = true
-				e.cfg.Servers.Answered(e.prints)
-			}
-			timer.reset(e.pauseTimeout())
-			pending = append(pending, buffer[:n]...)
-			complete := pending
-			if e.route.Resumable {
-				complete = pending[:completeEvents(pending)]
-			}
-			if len(complete) > 0 && !e.forwardEvents(response, controller, complete) {
+			s.countBytes(latency)
+			if !s.forward(buffer[:n]) {
 				return attempt{kind: bronzerill.KindCanceled, run: bronzerill.RunDone, outcome: placement.OutcomeNone}
 			}
-			pending = pending[len(complete):]
-		}
-		if err == io.EOF {
-			a := e.finishStream(response, controller, pending)
-			if a.kind == bronzerill.KindNone && !survived {
-				e.cfg.Servers.Answered(e.prints)
-			}
-			return a
 		}
-		if err != nil {
+		switch {
+		case err == io.EOF:
+			return s.finish(ctx)
+		case err != nil:
 			e.reportLost(ctx)
-			return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: err.Error()}
+			return truncated(err.Error())
 		}
 	}
 }
 
-// completeEvents returns the length of the complete events at the start of data.
-func completeEvents(data []byte) int {
-	last := bytes.LastIndex(data, eventSeparator)
-	if last < 0 {
-		return 0
+// truncated is the attempt of a response that ended too early.
+func truncated(detail string) attempt {
+	return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: detail}
+}
+
+// hasEvents reports whether a response states that its body consists of events.
+func hasEvents(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// countBytes records that part of the body has arrived.
+func (s *stream) countBytes(latency *time.Duration) {
+	now := s.cfg.Clock()
+	if *latency == 0 {
+		s.answerBeganAt = now
+		*latency = now.Sub(s.sentAt)
+		s.cfg.Servers.ResponseStarted(now, &s.choice)
+		metrics.FirstToken.Record(*latency)
+	}
+	if !s.survived && now.Sub(s.answerBeganAt) >= answerGrace {
+		s.survived = true
+		s.cfg.Servers.Answered(s.prints)
 	}
-	return last + len(eventSeparator)
 }
 
-// finishStream completes a stream after the server ended its response.
-func (e *exchange) finishStream(response *server.Response, controller *http.ResponseController, pending []byte) attempt {
-	if len(pending) > 0 {
-		// The response ended in the middle of an event.
-		return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: "ended inside an event"}
+// forward forwards the next bytes. It reports whether the caller is still connected.
+func (s *stream) forward(data []byte) bool {
+	complete := s.scanner.scan(data)
+	s.timer.reset(s.pauseTimeout())
+	if !s.route.Resumable {
+		return s.forwardEvents(s.response, s.controller, data)
 	}
-	if !e.headWritten && !e.forwardEvents(response, controller, nil) {
+	if complete > 0 {
+		if !s.forwardEvents(s.response, s.controller, append(s.pending, data[:complete]...)) {
+			return false
+		}
+		s.pending = s.pending[:0]
+	}
+	s.pending = append(s.pending, data[complete:]...)
+	return true
+}
+
+// finish completes a stream after the server ended its response.
+func (s *stream) finish(ctx context.Context) attempt {
+	if s.scanner.open > 0 && (s.route.Resumable || !s.response.Framed || hasEvents(s.response.Header)) {
+		s.reportLost(ctx)
+		return truncated("ended inside an event")
+	}
+	if !s.headWritten && !s.forwardEvents(s.response, s.controller, nil) {
 		return attempt{kind: bronzerill.KindCanceled, run: bronzerill.RunDone, outcome: placement.OutcomeNone}
 	}
+	if !s.survived {
+		s.cfg.Servers.Answered(s.prints)
+	}
 	metrics.Count(metrics.EventResponse)
-	e.logOutcome(bronzerill.KindNone, response.Status)
+	s.logOutcome(bronzerill.KindNone, s.response.Status)
 	return attempt{outcome: placement.OutcomeAnswered}
 }
 
