A response without framing is broken if its server has crashed

A crash between two events, or anywhere in an unframed body, looks like the end of the response. When such a response ends, the router now dials the server, as it does when a connection breaks: nothing listens there: the response is broken off. A server that stops right after its last unframed response loses a complete answer by this; the caller may ask again, which is the safe side.

TestUnframedResponseOfCrashedServerIsBroken, before: /stream/x ends as complete.

--- a/internal/router/caller/broken_test.go
+++ b/internal/router/caller/broken_test.go
@@ -3,9 +3,13 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bronzerill/internal/router/placement"
 )
 
 // sendUnframed sends a response without a length or chunks, which ends with its connection.
@@ -51,3 +55,20 @@
 	}
 }
 
+func TestUnframedResponseOfCrashedServerIsBroken(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/once/x"} {
+		router := newTestRouter(t)
+		var backend *httptest.Server
+		backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // the caller notices a failure
+			_ = backend.Listener.Close()
+			sendUnframed(w, r, "text/event-stream", eventText(1, 2))
+		}))
+		t.Cleanup(backend.Close)
+		now := time.Now()
+		router.table.SetList(now, now, []placement.Server{{ID: "0", Service: "desk", Addr: backend.Listener.Addr().String(), Slots: 6}})
+		status, _, err := router.call(path)
+		require.False(t, status == http.StatusOK && err == nil, "%s looks complete", path)
+	}
+}
+
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -280,6 +280,12 @@
 	return true
 }
 
+// isBroken reports whether a response that ended with its connection, without a length or
+// chunks, ended because the server crashed.
+func (e *exchange) isBroken(ctx context.Context, response *server.Response) bool {
+	return !response.Framed && e.checkCrash(ctx, e.cfg.Clock())
+}
+
 func (e *exchange) newCall(now time.Time) server.Call {
 	options := ForwardOptions{
 		Server:      e.choice.ID,
@@ -313,6 +319,8 @@
 	case err != nil:
 		e.reportLost(ctx)
 		return truncated(err.Error())
+	case e.isBroken(ctx, response):
+		return truncated("ended as the server crashed")
 	}
 	*latency = e.cfg.Clock().Sub(now)
 	e.cfg.Servers.ResponseStarted(e.cfg.Clock(), &e.choice)
