Bound the size of an event

Bytes without end in the body of a stream: the router kept the start of an event of a resumable stream in memory, without a bound, and forwarded the others until the route's timeout. Now an event has at most 1 MiB; the stream is broken off, a resumable one moves.

--- a/internal/router/caller/broken_test.go
+++ b/internal/router/caller/broken_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +73,21 @@
 	}
 }
 
+func TestEventWithoutEndBreaksStream(t *testing.T) {
+	endless := func(w http.ResponseWriter, r *http.Request) {
+		sendEvents(w, r, 1, 1)
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, strings.Repeat("x", 64<<10)); err != nil {
+				return
+			}
+		}
+	}
+	for _, path := range []string{"/stream/x", "/resumable/x"} {
+		start := time.Now()
+		_, body, err := newTestRouter(t, endless).call(path)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF, path)
+		require.Less(t, len(body), 2*maxEventBytes)
+		require.Less(t, time.Since(start), 900*time.Millisecond, "before the timeout of the route")
+	}
+}
+
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -94,8 +94,14 @@
 	return e.route.MayRepeat() && runs < e.route.MaxAttempts
 }
 
-// streamBufferSize is the size of the read buffer, in bytes.
-const streamBufferSize = 8 << 10
+// Limits of a stream.
+const (
+	// streamBufferSize is the size of the read buffer, in bytes.
+	streamBufferSize = 8 << 10
+	// maxEventBytes is the maximum size of one event. A faulty server can send bytes without
+	// end.
+	maxEventBytes = 1 << 20
+)
 
 // eventScanner finds the ends of the events in a stream. An empty line ends an event.
 type eventScanner struct {
@@ -163,6 +169,8 @@
 		case err != nil:
 			e.reportLost(ctx)
 			return truncated(err.Error())
+		case s.scanner.open > maxEventBytes:
+			return truncated("event too large")
 		}
 	}
 }
