A response over the size limit is an error, not cut

The call fails now; a repeatable request goes to another server.

TestTooLargeResponseIsNotCut, before: status 200.

--- a/internal/router/caller/broken_test.go
+++ b/internal/router/caller/broken_test.go
@@ -91,3 +91,12 @@
 	}
 }
 
+func TestTooLargeResponseIsNotCut(t *testing.T) {
+	large := respond(http.StatusOK, strings.Repeat("x", maxBody+1))
+	for _, path := range []string{"/once/x", "/repeatable/x"} {
+		status, _, err := newTestRouter(t, large, large).call(path)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, status, path)
+	}
+}
+
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -314,11 +314,13 @@
 
 // forwardResponse reads a response that isn't a stream and forwards it.
 func (e *exchange) forwardResponse(ctx context.Context, response *server.Response, now time.Time, latency *time.Duration) attempt {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
 	switch {
 	case err != nil:
 		e.reportLost(ctx)
 		return truncated(err.Error())
+	case len(body) > maxBody:
+		return truncated("body too large")
 	case e.isBroken(ctx, response):
 		return truncated("ended as the server crashed")
 	}
