Measure the progress of a stream by complete events

An operators' story: stalled streams that send a byte now and then never ended. It can happen here: each read postponed the silence timer of a resumable stream, so it stayed on a stalled server until the route's timeout. Now only a complete event does. Slow streams whose events come within the limit aren't cut (TestSlowStreamIsNotCut, passes before too).

--- a/internal/router/caller/broken_test.go
+++ b/internal/router/caller/broken_test.go
@@ -100,3 +100,32 @@
 	}
 }
 
+func TestStalledStreamThatSendsSingleBytesMovesToAnotherServer(t *testing.T) {
+	backend := resumableBackend(func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(w, "x")
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+	status, body, err := newTestRouter(t, backend, backend).call("/resumable/x")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, eventText(1, 8), body)
+}
+
+func TestSlowStreamIsNotCut(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		for id := 1; id <= 3; id++ {
+			sendEvents(w, r, id, id)
+			time.Sleep(250 * time.Millisecond)
+		}
+	}
+	for _, path := range []string{"/stream/x", "/resumable/x"} {
+		router := newTestRouter(t, slow, slow)
+		_, body, err := router.call(path)
+		require.NoError(t, err)
+		require.Equal(t, eventText(1, 3), body)
+		require.Equal(t, 1, router.totalReceived())
+	}
+}
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -204,7 +204,10 @@
 // forward forwards the next bytes. It reports whether the caller is still connected.
 func (s *stream) forward(data []byte) bool {
 	complete := s.scanner.scan(data)
-	s.timer.reset(s.pauseTimeout())
+	if complete > 0 {
+		// Single bytes of an event don't show that the server makes progress.
+		s.timer.reset(s.pauseTimeout())
+	}
 	if !s.route.Resumable {
 		return s.forwardEvents(s.response, s.controller, data)
 	}
