Agents count suspended time, so a lease lapses while the machine sleeps

An operators' story: a process that had been paused acted on a permission that had run out. A process paused by a signal was never affected: the clock goes on.

The agent now takes the time from CLOCK_BOOTTIME. Ruled out: time.Now without its monotonic reading (the time of day jumps). Entries and control replicas keep the monotonic clock: keys are compared with the time of day there, and agents refuse what an entry's old configuration would send.

--- a/internal/run/agent/orders.go
+++ b/internal/run/agent/orders.go
@@ -71,6 +71,6 @@
 // sendOrder sends the due order once the process is registered.
 func (r *Role) sendOrder(ctx context.Context, dispatcher *orderDispatcher) {
 	if at := r.registeredAt.Load(); at != nil {
-		dispatcher.send(ctx, time.Now(), r.renewer.View(), *at)
+		dispatcher.send(ctx, r.clock(), r.renewer.View(), *at)
 	}
 }
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -47,6 +47,7 @@
 	renewer    *wire.LeaseRenewer
 	server     *entry.Server
 	group      *errgroup.Group
+	clock      func() time.Time
 	generation atomic.Uint64
 	// registeredAt is when this process became the only writer of the server.
 	registeredAt atomic.Pointer[time.Time]
@@ -66,12 +67,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "agent.listen")
 	}
-	r := &Role{cfg: cfg, settings: settings, group: group}
+	clock, err := systemClock(time.Now())
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	r := &Role{cfg: cfg, settings: settings, group: group, clock: clock.now}
 	r.renewer = wire.NewLeaseRenewer(wire.LeaseRenewerConfig{
 		Client:          cfg.Client,
 		Holder:          "agent/" + settings.Server,
 		RenewalInterval: wire.AgentRenewalInterval,
-		Clock:           time.Now,
+		Clock:           r.clock,
 		Log:             cfg.Log,
 		Generation:      r.generation.Load,
 		Status:          r.status,
@@ -85,7 +91,7 @@
 		Runner:      r.newRunner(ctx),
 		Trials:      trialClient{cfg.Client, settings.Server},
 		View:        r.renewer.View,
-		Clock:       time.Now,
+		Clock:       r.clock,
 		Log:         cfg.Log,
 		Generation:  r.generation.Load,
 		Pool:        settings.Pool,
@@ -110,7 +116,7 @@
 		Pool:       r.settings.Pool,
 		Generation: r.generation.Load,
 		View:       r.renewer.View,
-		Clock:      time.Now,
+		Clock:      r.clock,
 		Log:        r.cfg.Log,
 		Background: func(work func(ctx context.Context)) {
 			r.group.Go(func() error { work(ctx); return nil })
@@ -127,7 +133,7 @@
 		Client:  client,
 		Pool:    r.settings.Pool,
 		View:    r.renewer.View,
-		Clock:   time.Now,
+		Clock:   r.clock,
 		Log:     r.cfg.Log,
 		OnCold:  func() { r.server.WithGate(func(g *admission.Gate) { g.StartCold() }) },
 		OnSlots: func(slots int) { r.server.WithGate(func(g *admission.Gate) { g.SetReportedSlots(slots) }) },
@@ -177,7 +183,7 @@
 			r.cfg.Log.Warn("failed to register", "error", err.Error())
 			continue
 		}
-		now := time.Now()
+		now := r.clock()
 		r.registeredAt.Store(&now)
 		r.generation.Store(generation)
 	}
@@ -220,7 +226,7 @@
 }
 
 // Ready reports whether the agent accepts new requests.
-func (r *Role) Ready() bool { return r.renewer.View().HasLease(time.Now()) }
+func (r *Role) Ready() bool { return r.renewer.View().HasLease(r.clock()) }
 
 // Drain refuses new requests immediately. It waits for the running requests and,
 // for an engine, for the hand-over of caches. It fails after DrainTimeout.
