--- a/internal/router/caller/broken_test.go
+++ b/internal/router/caller/broken_test.go
@@ -33,7 +33,7 @@
 		body    string
 		broken  bool
 	}{
-		{"without framing, complete", unframed(eventText(1, 3)), eventText(1, 3), false},
+		{"without framing, complete", unframed(eventText(3, 5)), eventText(3, 5), false},
 		{"without framing, complete, with carriage returns", unframed("id: 1\r\ndata: 1\r\n\r\n"), "id: 1\r\ndata: 1\r\n\r\n", false},
 		{"without framing, inside an event", unframed(eventText(1, 2) + "id: 3\nda"), eventText(1, 2) + "id: 3\nda", true},
 		{"without framing, at the end of a line", unframed(eventText(1, 2) + "id: 3\n"), eventText(1, 2) + "id: 3\n", true},
--- a/internal/router/caller/crash_test.go
+++ b/internal/router/caller/crash_test.go
@@ -67,9 +67,9 @@
 	sendEvents(rw, r, 1, 3)
 }
 
-// send sends a request with a prompt and returns the status, 0 if the connection broke.
-func (s *crashingServers) send(path, prompt string) int {
-	r := s.request(context.Background(), path)
+// send sends a request for a stream with a prompt and returns the status, 0 if the connection broke.
+func (s *crashingServers) send(prompt string) int {
+	r := s.request(context.Background(), "/stream/x")
 	r.Header.Set("Prompt", prompt)
 	r.Body = io.NopCloser(strings.NewReader(prompt))
 	r.ContentLength = int64(len(prompt))
@@ -92,18 +92,18 @@
 		t.Run(name, func(t *testing.T) {
 			servers := newCrashingServers(t, 12)
 			for i := range 10 {
-				servers.send("/stream/x", "common,"+rest(i)+",deadly,own"+strconv.Itoa(i))
-				require.Equal(t, 200, servers.send("/stream/x", "common,other,own"), "a sound request after %d crashes", servers.crashes.Load())
+				servers.send("common," + rest(i) + ",deadly,own" + strconv.Itoa(i))
+				require.Equal(t, 200, servers.send("common,other,own"), "a sound request after %d crashes", servers.crashes.Load())
 			}
 			require.LessOrEqual(t, servers.crashes.Load(), int32(5))
-			require.Equal(t, 200, servers.send("/stream/x", "common,"+rest(9)+",own"), "the parts beside the deadly one stay served")
+			require.Equal(t, 200, servers.send("common,"+rest(9)+",own"), "the parts beside the deadly one stay served")
 		})
 	}
 }
 
 func TestCrashIsFoundWithoutAnotherRequestToTheServer(t *testing.T) {
 	servers := newCrashingServers(t, 2)
-	servers.send("/stream/x", "common,deadly,own")
+	servers.send("common,deadly,own")
 	require.Contains(t, servers.logged.String(), "server crashed")
 }
 
@@ -112,23 +112,23 @@
 	sound := []string{"common,rare-a", "common,rare-b", "rare-c"}
 	answered := func() {
 		for _, parts := range sound {
-			require.Equal(t, 200, servers.send("/stream/x", parts+",own"), parts)
+			require.Equal(t, 200, servers.send(parts+",own"), parts)
 		}
 	}
 	for round := range 4 {
 		var callers errgroup.Group
 		for _, parts := range sound {
 			callers.Go(func() error {
-				servers.send("/stream/x", parts+",slow"+strconv.Itoa(round))
+				servers.send(parts + ",slow" + strconv.Itoa(round))
 				return nil
 			})
 		}
 		require.Eventually(t, func() bool { return int(servers.waiting.Load()) == (round+1)*len(sound) }, time.Second, time.Millisecond)
-		require.Equal(t, 502, servers.send("/stream/x", "common,deadly,own"+strconv.Itoa(round)))
+		require.Equal(t, 502, servers.send("common,deadly,own"+strconv.Itoa(round)))
 		require.NoError(t, callers.Wait())
 		servers.replace(1)
 	}
 	answered()
-	require.Equal(t, 503, servers.send("/stream/x", "common,deadly,own"))
+	require.Equal(t, 503, servers.send("common,deadly,own"))
 	answered()
 }
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -260,7 +260,7 @@
 		return
 	}
 	if e.answerBeganAt.IsZero() || now.Sub(e.answerBeganAt) < answerGrace {
-		e.cfg.Servers.ConnectionLost(now, e.choice, e.fingerprint, e.prints[1:]...)
+		e.cfg.Servers.ConnectionLost(now, e.choice, e.fingerprint, e.fingerprints[1:]...)
 	}
 	e.checkCrash(ctx, now)
 }
@@ -344,7 +344,7 @@
 	if _, err := e.w.Write(body); err != nil {
 		return attempt{kind: bronzerill.KindCanceled, run: bronzerill.RunDone, outcome: placement.OutcomeAnswered}
 	}
-	e.cfg.Servers.Answered(e.prints)
+	e.cfg.Servers.Answered(e.fingerprints)
 	metrics.Count(metrics.EventResponse)
 	e.logOutcome(bronzerill.KindNone, response.Status)
 	return attempt{outcome: placement.OutcomeAnswered}
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -123,9 +123,9 @@
 	lastEventID string
 	// fingerprint identifies the request when it is sent again.
 	fingerprint placement.Fingerprint
-	// prints holds the fingerprint, followed by the shared parts of the prompt. If servers crash
+	// fingerprints holds the fingerprint, followed by the shared parts of the prompt. If servers crash
 	// under one of them, such requests are no longer sent.
-	prints []placement.Fingerprint
+	fingerprints []placement.Fingerprint
 	// retryAfter is the retry delay if the request is refused.
 	retryAfter time.Duration
 }
@@ -149,9 +149,9 @@
 		return kind
 	}
 	e.fingerprint = e.computeFingerprint()
-	e.prints = []placement.Fingerprint{e.fingerprint}
+	e.fingerprints = []placement.Fingerprint{e.fingerprint}
 	for _, part := range e.request.SharedParts() {
-		e.prints = append(e.prints, placement.Fingerprint(part))
+		e.fingerprints = append(e.fingerprints, placement.Fingerprint(part))
 	}
 	if e.isQuarantined(e.start) {
 		return bronzerill.KindSuspect
@@ -204,7 +204,7 @@
 // isQuarantined reports whether the request must not be sent, because such requests have
 // crashed too many servers.
 func (e *exchange) isQuarantined(now time.Time) bool {
-	remaining, quarantined := e.cfg.Servers.IsQuarantined(now, e.prints...)
+	remaining, quarantined := e.cfg.Servers.Quarantine(now, e.fingerprints...)
 	if quarantined {
 		e.retryAfter = remaining
 	}
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -197,7 +197,7 @@
 	}
 	if !s.survived && now.Sub(s.answerBeganAt) >= answerGrace {
 		s.survived = true
-		s.cfg.Servers.Answered(s.prints)
+		s.cfg.Servers.Answered(s.fingerprints)
 	}
 }
 
@@ -234,7 +234,7 @@
 		return attempt{kind: bronzerill.KindCanceled, run: bronzerill.RunDone, outcome: placement.OutcomeNone}
 	}
 	if !s.survived {
-		s.cfg.Servers.Answered(s.prints)
+		s.cfg.Servers.Answered(s.fingerprints)
 	}
 	metrics.Count(metrics.EventResponse)
 	s.logOutcome(bronzerill.KindNone, s.response.Status)
--- a/internal/router/placement/outcome.go
+++ b/internal/router/placement/outcome.go
@@ -93,10 +93,10 @@
 }
 
 // Answered records that a server answered a request with these fingerprints.
-func (t *Table) Answered(prints []Fingerprint) {
+func (t *Table) Answered(fingerprints []Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.suspects.Answered(prints)
+	t.suspects.Answered(fingerprints)
 }
 
 // IsDown reports whether a server was found down a short time ago.
--- a/internal/router/placement/quarantine.go
+++ b/internal/router/placement/quarantine.go
@@ -36,16 +36,16 @@
 // with the culprit. So a suspect counts only together with its companions, which were lost
 // in each of its crashes and never answered since: which of them is the culprit is unknown
 // until one is answered, or crashes a server, without the other.
-func (s *Suspects) check(now time.Time, prints []Fingerprint) (quarantine, bool) {
+func (s *Suspects) check(now time.Time, fingerprints []Fingerprint) (quarantine, bool) {
 	var applied quarantine
-	for _, print := range prints {
-		known, ok := s.suspects[print]
-		if !ok || !s.isQuarantinable(now, print) {
+	for _, fingerprint := range fingerprints {
+		known, ok := s.suspects[fingerprint]
+		if !ok || !s.isQuarantinable(now, fingerprint) {
 			continue
 		}
 		crashes := known.crashes()
 		until := known.lastCrash().Add(suspectLifetime << min(crashes-quarantineAfter, maxQuarantineDoublings))
-		switch s.missingCompanion(print, prints) {
+		switch s.missingCompanion(fingerprint, fingerprints) {
 		case withinRequest:
 			continue
 		case withinCrash:
@@ -56,15 +56,15 @@
 		case noCompanion:
 		}
 		if until.After(applied.until) {
-			applied = quarantine{print, until}
+			applied = quarantine{fingerprint, until}
 		}
 	}
 	return applied, !applied.until.IsZero()
 }
 
 // isQuarantinable reports whether a suspect has crashed too many servers.
-func (s *Suspects) isQuarantinable(now time.Time, print Fingerprint) bool {
-	known := s.suspects[print]
+func (s *Suspects) isQuarantinable(now time.Time, fingerprint Fingerprint) bool {
+	known := s.suspects[fingerprint]
 	return known.crashes() >= quarantineAfter && now.Sub(known.lastCrash()) < suspectMemory && !known.isSound()
 }
 
@@ -82,12 +82,12 @@
 
 // missingCompanion returns the closest companionship of the suspect's companions that a
 // request lacks.
-func (s *Suspects) missingCompanion(print Fingerprint, prints []Fingerprint) companionship {
-	exposures := s.suspects[print].exposures
+func (s *Suspects) missingCompanion(fingerprint Fingerprint, fingerprints []Fingerprint) companionship {
+	exposures := s.suspects[fingerprint].exposures
 	closest := noCompanion
 	for _, companion := range exposures[0].suspects {
 		known := s.suspects[companion]
-		if companion != print && !slices.Contains(prints, companion) && known.allAnswers() == 0 {
+		if companion != fingerprint && !slices.Contains(fingerprints, companion) && known.allAnswers() == 0 {
 			closest = max(closest, known.companionOf(exposures))
 		}
 	}
@@ -111,18 +111,18 @@
 
 // IsQuarantined reports whether requests with these fingerprints have crashed too many
 // servers.
-func (s *Suspects) IsQuarantined(now time.Time, prints ...Fingerprint) bool {
-	q, ok := s.check(now, prints)
+func (s *Suspects) IsQuarantined(now time.Time, fingerprints ...Fingerprint) bool {
+	q, ok := s.check(now, fingerprints)
 	return ok && now.Before(q.until)
 }
 
-// IsQuarantined reports whether a request must not be sent because requests with these
+// Quarantine reports whether a request must not be sent because requests with these
 // fingerprints have crashed too many servers, and for how long. After a quarantine, one router
 // sends single requests.
-func (t *Table) IsQuarantined(now time.Time, prints ...Fingerprint) (time.Duration, bool) {
+func (t *Table) Quarantine(now time.Time, fingerprints ...Fingerprint) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	q, ok := t.suspects.check(now, prints)
+	q, ok := t.suspects.check(now, fingerprints)
 	switch {
 	case !ok:
 		return 0, false
--- a/internal/router/placement/suspectgossip.go
+++ b/internal/router/placement/suspectgossip.go
@@ -44,9 +44,9 @@
 func (s *Suspects) ToGossip(now time.Time) []Suspect {
 	var gossip []Suspect
 	var older []Fingerprint
-	for _, print := range s.byCrashes() {
-		known := s.suspects[print]
-		entry := Suspect{Print: print, Answered: known.answers}
+	for _, fingerprint := range s.byCrashes() {
+		known := s.suspects[fingerprint]
+		entry := Suspect{Print: fingerprint, Answered: known.answers}
 		for _, e := range known.exposures {
 			if !e.own {
 				continue
@@ -59,8 +59,8 @@
 		recent := len(entry.Exposures) > 0 || known.answers > 0 && known.crashes() >= quarantineAfter-1
 		if recent && len(gossip) < maxGossipedSuspects-refreshedSuspects {
 			gossip = append(gossip, entry)
-		} else if s.isQuarantinable(now, print) {
-			older = append(older, print)
+		} else if s.isQuarantinable(now, fingerprint) {
+			older = append(older, fingerprint)
 		}
 	}
 	for range min(refreshedSuspects, len(older)) {
--- a/internal/router/placement/suspects.go
+++ b/internal/router/placement/suspects.go
@@ -166,9 +166,9 @@
 		}
 		c := s.crashOf(now, KeyOf(server), l.lostAt)
 		e := exposure{crash: c, sentAt: l.SentAt, own: true, requests: []RequestTag{RequestTag(l.Request)}}
-		for _, print := range append([]Fingerprint{l.Request}, l.Parts...) {
-			if s.expose(print, e) {
-				found = append(found, print)
+		for _, fingerprint := range append([]Fingerprint{l.Request}, l.Parts...) {
+			if s.expose(fingerprint, e) {
+				found = append(found, fingerprint)
 			}
 		}
 		return true
@@ -177,9 +177,9 @@
 }
 
 // Answered records that a server answered a request with these fingerprints.
-func (s *Suspects) Answered(prints []Fingerprint) {
-	for _, print := range prints {
-		if known, ok := s.suspects[print]; ok {
+func (s *Suspects) Answered(fingerprints []Fingerprint) {
+	for _, fingerprint := range fingerprints {
+		if known, ok := s.suspects[fingerprint]; ok {
 			known.answers++
 		}
 	}
@@ -205,7 +205,7 @@
 // leastUseful returns the oldest crash that no quarantine depends on, or the oldest one.
 func (s *Suspects) leastUseful(now time.Time) *crash {
 	for _, c := range s.crashes {
-		if !slices.ContainsFunc(c.suspects, func(print Fingerprint) bool { return s.isQuarantinable(now, print) }) {
+		if !slices.ContainsFunc(c.suspects, func(fingerprint Fingerprint) bool { return s.isQuarantinable(now, fingerprint) }) {
 			return c
 		}
 	}
@@ -214,8 +214,8 @@
 
 // expose records that requests with a suspect were lost in a crash. It reports whether this
 // router's own loss is new.
-func (s *Suspects) expose(print Fingerprint, e exposure) bool {
-	known := s.suspects[print]
+func (s *Suspects) expose(fingerprint Fingerprint, e exposure) bool {
+	known := s.suspects[fingerprint]
 	if known != nil {
 		if i := known.exposedTo(e.crash); i >= 0 {
 			isNew := e.own && !known.exposures[i].own
@@ -228,9 +228,10 @@
 	}
 	if known == nil {
 		known = &suspect{peerAnswers: make(map[string]int)}
-		s.suspects[print] = known
+		s.suspects[fingerprint] = known
 	}
-	e.crash.suspects = append(e.crash.suspects, print)
+	c := e.crash
+	c.suspects = append(c.suspects, fingerprint)
 	e.requests = slices.Clone(e.requests[:min(len(e.requests), maxExposureRequests)])
 	known.exposures = append(known.exposures, e)
 	slices.SortStableFunc(known.exposures, func(a, b exposure) int { return a.at.Compare(b.at) })
@@ -251,16 +252,16 @@
 // crash, so that a further one quarantines them again.
 func (s *Suspects) remove(now time.Time, c *crash) {
 	expired := now.Sub(c.at) >= suspectLifetime
-	c.suspects = slices.DeleteFunc(c.suspects, func(print Fingerprint) bool {
-		known := s.suspects[print]
-		if expired && s.isQuarantinable(now, print) {
+	c.suspects = slices.DeleteFunc(c.suspects, func(fingerprint Fingerprint) bool {
+		known := s.suspects[fingerprint]
+		if expired && s.isQuarantinable(now, fingerprint) {
 			return false
 		}
 		if i := known.exposedTo(c); i >= 0 {
 			known.exposures = slices.Delete(known.exposures, i, i+1)
 		}
 		if len(known.exposures) == 0 {
-			delete(s.suspects, print)
+			delete(s.suspects, fingerprint)
 		}
 		return true
 	})
@@ -271,14 +272,14 @@
 
 // byCrashes returns the fingerprints of all suspects, those with the most crashes first.
 func (s *Suspects) byCrashes() []Fingerprint {
-	prints := make([]Fingerprint, 0, len(s.suspects))
+	fingerprints := make([]Fingerprint, 0, len(s.suspects))
 	counts := make(map[Fingerprint]int, len(s.suspects))
-	for print, known := range s.suspects {
-		prints = append(prints, print)
-		counts[print] = known.crashes()
+	for fingerprint, known := range s.suspects {
+		fingerprints = append(fingerprints, fingerprint)
+		counts[fingerprint] = known.crashes()
 	}
-	slices.SortFunc(prints, func(a, b Fingerprint) int {
+	slices.SortFunc(fingerprints, func(a, b Fingerprint) int {
 		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
 	})
-	return prints
+	return fingerprints
 }
--- a/internal/router/placement/suspects_test.go
+++ b/internal/router/placement/suspects_test.go
@@ -8,12 +8,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-func lostRequest(sentAt time.Time, server string, prints ...Fingerprint) LostRequest {
-	return LostRequest{Server: server, SentAt: sentAt, Request: prints[0], Parts: prints[1:]}
+func lostRequest(sentAt time.Time, server string, fingerprints ...Fingerprint) LostRequest {
+	return LostRequest{Server: server, SentAt: sentAt, Request: fingerprints[0], Parts: fingerprints[1:]}
 }
 
-func isQuarantined(table *Table, now time.Time, prints ...Fingerprint) bool {
-	_, quarantined := table.IsQuarantined(now, prints...)
+func isQuarantined(table *Table, now time.Time, fingerprints ...Fingerprint) bool {
+	_, quarantined := table.Quarantine(now, fingerprints...)
 	return quarantined
 }
 
@@ -86,8 +86,8 @@
 	server := "server-" + strconv.Itoa(c.servers)
 	sentAt := c.now
 	c.now = c.now.Add(100 * time.Millisecond)
-	for _, prints := range requests {
-		c.ConnectionLost(c.now, lostRequest(sentAt, server, prints...))
+	for _, fingerprints := range requests {
+		c.ConnectionLost(c.now, lostRequest(sentAt, server, fingerprints...))
 	}
 	c.ServerDown(c.now, server)
 	c.now = c.now.Add(100 * time.Millisecond)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -97,10 +97,20 @@
 mutant "router: engines are loaded above the bound of the deployment" $P/admission.go 's/if a\.engine \&\& float64/if false \&\& float64/' $P TestEnginesAboveTheHardBound
 mutant "router: a request whose response was lost counts as not run" $V/client.go 's/if written == 0 \{/if written >= 0 {/' $V 'Test'
 mutant "router: responses to other requests are passed on" $V/client.go 's/if matches\(response\.Header\) \{/if true {/' $V TestLateResponse
-mutant "router: a truncated stream counts as complete" $C/stream.go 's/if len\(pending\) > 0 \{/if false {/' $C 'TestBrokenStream|TestStream'
+mutant "router: a truncated stream counts as complete" $C/stream.go 's/if s\.scanner\.open > 0 \&\& \(.*/if false {/' $C 'TestBrokenStream|TestStream'
 mutant "router: an older state replaces a newer one" $O/holder.go 's/newer := next\.Revision > h\.state\.Revision/newer := true/; s/if next\.Revision <= before\.Revision \{/if false {/' $O TestStateNever
 mutant "router: the bootstrapping router alone acknowledges writes" $O/group.go 's/if voters < needed \{/if voters < 0 \&\& needed > 0 {/' $O TestFounderAlone
 mutant "router: reads aren't confirmed by a quorum" $R/readindex.go 's/c\.quorumAck\(now\) > startedAt$/c.quorumAck(now) > 0*startedAt/' $R TestSeededReads
+mutant "router: prompt parts aren't suspects" $C/handler.go 's/range e\.request\.SharedParts\(\) \{/range e.request.SharedParts()[:0] {/' $C TestRequestsWithCrashing
+mutant "router: a crash is found by the next request only" $C/exchange.go 's/if !known \&\& !e\.cfg\.Client\.IsRefused\(ctx, e\.choice\.Addr\) \{/if !known {/' $C TestCrashIsFound
+mutant "router: servers that fail together count one by one" $P/suspects.go 's/if !e\.sentAt\.Before\(last\) \{/if true {/' $P TestServersThatFailTogether
+mutant "router: answers don't clear a suspect" $P/suspects.go 's/\{ return s\.allAnswers\(\) >= s\.crashes\(\) \}/{ return false }/' $P 'TestAnswersEnd|TestDeadlyPart'
+mutant "router: companions of a suspect are ignored" $P/quarantine.go 's/closest = max\(closest, known\.companionOf\(exposures\)\)/_ = known/' $P 'TestSoundCompanion|TestRareBystander'
+mutant "router: all routers try a suspect after its quarantine" $P/quarantine.go 's/case t\.isChosenRouter\(uint64\(q\.suspect\), 1\) \&\& /case /' $P TestOneRouterTries
+mutant "router: response headers aren't bounded" $V/client.go 's/conn\.limited\.remaining = maxHeadBytes/conn.limited.remaining = unlimited/' $V TestResponseWithoutEnd
+mutant "router: events aren't bounded" $C/stream.go 's/case s\.scanner\.open > maxEventBytes:/case false:/' $C TestEventWithoutEnd
+mutant "router: single bytes count as progress" $C/stream.go 's/if complete > 0 \{/if true {/' $C TestStalledStream
+mutant "router: an unframed response of a crashed server counts as complete" $C/exchange.go 's/return !response\.Framed \&\& /return false \&\& !response.Framed \&\& /' $C TestUnframedResponse
 
 if [ "$survived" -gt 0 ]; then
 	echo "$survived mutants were not caught"
