--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -103,7 +103,7 @@
 mutant "router: reads aren't confirmed by a quorum" $R/readindex.go 's/c\.quorumAck\(now\) > startedAt$/c.quorumAck(now) > 0*startedAt/' $R TestSeededReads
 mutant "router: prompt parts aren't suspects" $C/handler.go 's/range e\.request\.SharedParts\(\) \{/range e.request.SharedParts()[:0] {/' $C TestRequestsWithCrashing
 mutant "router: a crash is found by the next request only" $C/exchange.go 's/if !known \&\& !e\.cfg\.Client\.IsRefused\(ctx, e\.choice\.Addr\) \{/if !known {/' $C TestCrashIsFound
-mutant "router: servers that fail together count one by one" $P/suspects.go 's/if !e\.sentAt\.Before\(last\) \{/if true {/' $P TestServersThatFailTogether
+mutant "router: servers that fail together count one by one" $P/suspects.go 's/if !e\.sentAt\.Before\(last\) \{/if !e.sentAt.Before(last) || true {/' $P TestServersThatFailTogether
 mutant "router: answers don't clear a suspect" $P/suspects.go 's/\{ return s\.allAnswers\(\) >= s\.crashes\(\) \}/{ return false }/' $P 'TestAnswersEnd|TestDeadlyPart'
 mutant "router: companions of a suspect are ignored" $P/quarantine.go 's/closest = max\(closest, known\.companionOf\(exposures\)\)/_ = known/' $P 'TestSoundCompanion|TestRareBystander'
 mutant "router: all routers try a suspect after its quarantine" $P/quarantine.go 's/case t\.isChosenRouter\(uint64\(q\.suspect\), 1\) \&\& /case /' $P TestOneRouterTries
