--- a/internal/run/router/router_test.go
+++ b/internal/run/router/router_test.go
@@ -31,10 +31,12 @@
 // routers. The routers use the same ports, so each has an address of its own, from
 // 127.0.0.1 upwards.
 type cluster struct {
-	t        *testing.T
-	list     *httptest.Server
-	server   *httptest.Server
-	requests atomic.Int32
+	t    *testing.T
+	list *httptest.Server
+	// extraServers holds further entries of the list, each followed by a comma.
+	extraServers atomic.Value
+	server       *httptest.Server
+	requests     atomic.Int32
 	// received holds the IDs of the requests that the server received, and work is its
 	// service time in nanoseconds.
 	received sync.Map
@@ -79,7 +81,8 @@
 	}))
 	t.Cleanup(c.engine.Close)
 	c.list = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintf(rw, `{"instances":[{"id":"i-1","service":"desk","address":%q,"zone":"zone-a","slots":6,"state":"ready"},
+		extra, _ := c.extraServers.Load().(string)
+		_, _ = fmt.Fprintf(rw, `{"instances":[`+extra+`{"id":"i-1","service":"desk","address":%q,"zone":"zone-a","slots":6,"state":"ready"},
 			{"id":"i-2","service":"guides","address":%q,"zone":"zone-a","slots":48,"state":"ready"}],"next":null}`, c.server.Listener.Addr(), c.engine.Listener.Addr())
 	}))
 	t.Cleanup(c.list.Close)
