--- a/internal/run/router/router_test.go
+++ b/internal/run/router/router_test.go
@@ -119,7 +119,7 @@
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	tasks, ctx := errgroup.WithContext(ctx)
-	r, err := newRouter(s, "", platform.Adapter{}, hclog.NewNullLogger())
+	r, err := newRouter(s, "", platform.Adapter{}, hclog.New(&hclog.LoggerOptions{Name: s.Name, Output: c.t.Output()}))
 	require.NoError(c.t, err)
 	require.NoError(c.t, r.start(ctx, tasks))
 	c.routers[i] = r
