A cache over the size limit is an error, not cut

An engine's export of over 64 MiB was handed to the successor cut, as if whole. The hand-over of that chat fails now, and its next turn reads its prompt again.

TestTooLargeCacheIsNotCut, before: no error for 64 MiB + 1.

--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -155,8 +155,14 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("export cache: engine returned %s", response.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxCacheBytes))
-	return data, errors.Wrap(err, "read cache")
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxCacheBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read cache")
+	}
+	if len(data) > maxCacheBytes {
+		return nil, errors.Errorf("cache exceeds %d bytes", maxCacheBytes)
+	}
+	return data, nil
 }
 
 // ImportCache sends the KV cache of one chat to the engine.
