Bound the peers whose answers are counted for a suspect

TestSuspectsStayBounded has the bound; TestCrashesStayBounded shows that crashes of a quarantine outlive others.

--- a/internal/router/placement/suspectgossip.go
+++ b/internal/router/placement/suspectgossip.go
@@ -93,7 +93,13 @@
 			s.expose(reported.Print, exposure{crash: c, sentAt: now.Add(-e.SentAge), requests: e.Requests})
 		}
 		if known, ok := s.suspects[reported.Print]; ok {
-			known.peerAnswers[peer] = reported.Answered
+			known.setPeerAnswers(peer, reported.Answered)
 		}
 	}
 }
+
+func (s *suspect) setPeerAnswers(peer string, answers int) {
+	if _, ok := s.peerAnswers[peer]; ok || len(s.peerAnswers) < maxPeerAnswers {
+		s.peerAnswers[peer] = answers
+	}
+}
--- a/internal/router/placement/suspects.go
+++ b/internal/router/placement/suspects.go
@@ -21,6 +21,8 @@
 	// maxExposureRequests limits the recorded requests with a suspect that were lost in one
 	// crash.
 	maxExposureRequests = 4
+	// maxPeerAnswers limits the peers whose answers are counted for one suspect.
+	maxPeerAnswers = 64
 	// maxSuspects limits the suspects in the table, and the lost connections whose servers
 	// have not been found down yet.
 	maxSuspects = maxCrashes * maxCrashSuspects
@@ -86,7 +88,7 @@
 	// exposures are sorted by the times of the crashes. There is at least one.
 	exposures []exposure
 	// answers and peerAnswers count the answers since the first crash, of this router and
-	// by the name of the peer.
+	// by the name of the peer. There are at most maxPeerAnswers peers.
 	answers     int
 	peerAnswers map[string]int
 }
--- a/internal/router/placement/suspects_test.go
+++ b/internal/router/placement/suspects_test.go
@@ -53,6 +53,12 @@
 	}
 	require.LessOrEqual(t, len(s.suspects), maxSuspects)
 	require.LessOrEqual(t, len(s.ToGossip(start)), maxGossipedSuspects)
+	suspects := s.ToGossip(start)
+	require.NotEmpty(t, suspects)
+	for i := range 3 * maxPeerAnswers {
+		s.SetPeer(start, strconv.Itoa(i), suspects)
+	}
+	require.Len(t, s.suspects[suspects[0].Print].peerAnswers, maxPeerAnswers)
 }
 
 // TestTableQuarantinesCrashingRequest calls the table as a caller's request does.
@@ -260,3 +266,17 @@
 	}
 	require.Equal(t, 1, s.suspects[common].crashes())
 }
+
+// TestCrashesStayBounded has more crashes than the table holds after a quarantine began.
+func TestCrashesStayBounded(t *testing.T) {
+	c := newCrashes()
+	for range quarantineAfter {
+		c.crash([]Fingerprint{deadly})
+	}
+	for i := range Fingerprint(3 * maxCrashes) {
+		c.crash([]Fingerprint{1000 + i})
+	}
+	require.LessOrEqual(t, len(c.crashes), maxCrashes)
+	require.LessOrEqual(t, len(c.suspects), maxSuspects)
+	require.True(t, c.IsQuarantined(c.now, deadly), "crashes that a quarantine depends on stay")
+}
