--- a/internal/router/placement/quarantine.go
+++ b/internal/router/placement/quarantine.go
@@ -109,17 +109,10 @@
 	return closeness
 }
 
-// IsQuarantined reports whether requests with these fingerprints have crashed too many
-// servers.
-func (s *Suspects) IsQuarantined(now time.Time, fingerprints ...Fingerprint) bool {
-	q, ok := s.check(now, fingerprints)
-	return ok && now.Before(q.until)
-}
-
 // Quarantine reports whether a request must not be sent because requests with these
-// fingerprints have crashed too many servers, and for how long. After a quarantine, one router
-// sends single requests.
-func (t *Table) Quarantine(now time.Time, fingerprints ...Fingerprint) (time.Duration, bool) {
+// fingerprints have crashed too many servers, and the remaining time. After a quarantine, one
+// router sends single requests.
+func (t *Table) Quarantine(now time.Time, fingerprints ...Fingerprint) (remaining time.Duration, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q, ok := t.suspects.check(now, fingerprints)
--- a/internal/router/placement/suspects_test.go
+++ b/internal/router/placement/suspects_test.go
@@ -12,6 +12,13 @@
 	return LostRequest{Server: server, SentAt: sentAt, Request: fingerprints[0], Parts: fingerprints[1:]}
 }
 
+// IsQuarantined reports whether requests with these fingerprints have crashed too many
+// servers.
+func (s *Suspects) IsQuarantined(now time.Time, fingerprints ...Fingerprint) bool {
+	q, ok := s.check(now, fingerprints)
+	return ok && now.Before(q.until)
+}
+
 func isQuarantined(table *Table, now time.Time, fingerprints ...Fingerprint) bool {
 	_, quarantined := table.Quarantine(now, fingerprints...)
 	return quarantined
@@ -134,8 +141,7 @@
 	require.False(t, c.IsQuarantined(c.now, 54, companion))
 }
 
-// TestBystanderOfTooManyCrashesIsOnProbation has a sound part that is lost with each crash
-// and not answered for long.
+// The sound part is lost with each crash and not answered for long.
 func TestBystanderOfTooManyCrashesIsOnProbation(t *testing.T) {
 	c := newCrashes()
 	for i := range Fingerprint(6) {
@@ -151,8 +157,7 @@
 	require.True(t, c.IsQuarantined(c.now, 54, common, deadly), "told apart by the answer")
 }
 
-// TestRareBystanderStaysServedBeforeTooManyCrashes has a sound part that is lost in each crash,
-// in other requests than the deadly one.
+// The sound part is lost in each crash, in other requests than the deadly one.
 func TestRareBystanderStaysServedBeforeTooManyCrashes(t *testing.T) {
 	c := newCrashes()
 	for i := range Fingerprint(ambiguousAfter - 1) {
@@ -232,7 +237,7 @@
 	require.Equal(t, 2, sent)
 }
 
-// TestRestartedRouterLearnsQuarantine has a router that starts when the crashes are over.
+// The router starts when the crashes are over.
 func TestRestartedRouterLearnsQuarantine(t *testing.T) {
 	c := newCrashes()
 	for range quarantineAfter {
@@ -248,8 +253,7 @@
 	require.False(t, started.IsQuarantined(c.now, common))
 }
 
-// TestOneCrashSeenByAllRoutersCountsOnce has ten routers that lose requests with the same
-// sound part in one crash, and digests that arrive many times.
+// Ten routers lose requests with the same part in one crash; digests arrive many times.
 func TestOneCrashSeenByAllRoutersCountsOnce(t *testing.T) {
 	s := NewSuspects()
 	s.ConnectionLost(start, lostRequest(start.Add(-time.Second), "x", common))
@@ -267,7 +271,7 @@
 	require.Equal(t, 1, s.suspects[common].crashes())
 }
 
-// TestCrashesStayBounded has more crashes than the table holds after a quarantine began.
+// More crashes than the table holds follow the quarantine.
 func TestCrashesStayBounded(t *testing.T) {
 	c := newCrashes()
 	for range quarantineAfter {
--- a/internal/run/router/quarantine_test.go
+++ b/internal/run/router/quarantine_test.go
@@ -61,8 +61,7 @@
 	return response.StatusCode
 }
 
-// TestCrashingPromptPartIsQuarantinedByAllRouters sends requests with a part that crashes
-// servers to five routers in turn. Each sees only some of the crashes.
+// The five routers each see only some of the crashes.
 func TestCrashingPromptPartIsQuarantinedByAllRouters(t *testing.T) {
 	c := newCluster(t, 5, 3)
 	crashes := startCrashingServers(c, 14)
--- a/internal/run/router/stop_test.go
+++ b/internal/run/router/stop_test.go
@@ -53,8 +53,7 @@
 	return true
 }
 
-// TestPlannedStopAnswersWhatItAccepted stops a router under load. Callers use open connections
-// until the router is gone, and new ones until the balancer has noticed.
+// Callers use open connections until the router is gone, new ones until the balancer notices.
 func TestPlannedStopAnswersWhatItAccepted(t *testing.T) {
 	c := newCluster(t, 3, 3)
 	c.awaitOperatorCall(0, "PUT", "/v1/config", document(5, "/a/"), 200)
