Only a refused connection shows a crash; an unclassified error isn't "not run"

IsRefused took every failed dial but a timeout for a crash, also a lack of file descriptors of the router itself, which would have made sound requests suspects. failedCall had a branch for errors of another type than the client returns: it didn't count the run, so the caller would have been told that the request hadn't run. No error takes that branch today, so no test reaches it; it is gone.

TestIsRefusedOnlyIfNothingListens: nothing listens, a canceled context, and the connection of the check is used by the next call.

--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -233,13 +233,11 @@
 	return attempt{kind: bronzerill.KindOverloaded, run: bronzerill.RunNot, outcome: placement.OutcomeRefused}
 }
 
-// failedCall classifies a call that got no response.
+// failedCall classifies a call that got no response. Without proof of the contrary the server
+// may have run the request.
 func (e *exchange) failedCall(ctx context.Context, err error) attempt {
 	var callErr *server.Error
-	if !errors.As(err, &callErr) {
-		return attempt{kind: bronzerill.KindInternal, run: bronzerill.RunUnknown, outcome: placement.OutcomeFailed}
-	}
-	if callErr.Run == bronzerill.RunNot {
+	if errors.As(err, &callErr) && callErr.Run == bronzerill.RunNot {
 		return attempt{kind: bronzerill.KindUnreachable, run: bronzerill.RunNot, outcome: placement.OutcomeUnreachable, detail: err.Error()}
 	}
 	e.runs++
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -123,8 +123,8 @@
 	lastEventID string
 	// fingerprint identifies the request when it is sent again.
 	fingerprint placement.Fingerprint
-	// fingerprints holds the fingerprint, followed by the shared parts of the prompt. If servers crash
-	// under one of them, such requests are no longer sent.
+	// fingerprints holds the fingerprint, followed by the shared parts of the prompt. If
+	// servers crash under one of them, such requests are no longer sent.
 	fingerprints []placement.Fingerprint
 	// retryAfter is the retry delay if the request is refused.
 	retryAfter time.Duration
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -158,7 +159,8 @@
 func (c *Client) IsRefused(ctx context.Context, addr string) bool {
 	conn, err := dial(ctx, addr, firstDialTimeout)
 	if err != nil {
-		return ctx.Err() == nil && !isTimeout(err)
+		// Other errors, such as a lack of file descriptors, say nothing about the server.
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	c.pool.put(c.cfg.Clock(), conn)
 	return false
--- a/internal/router/server/client_test.go
+++ b/internal/router/server/client_test.go
@@ -351,3 +351,19 @@
 	c.Sweep(time.Now().Add(maxIdleTime))
 	require.Empty(t, c.pool.idle)
 }
+
+func TestIsRefusedOnlyIfNothingListens(t *testing.T) {
+	s := startServer(t, func(conn *net.TCPConn, _ int) { send(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") })
+	c := newTestClient()
+	require.False(t, c.IsRefused(testContext(t), s.addr()))
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.False(t, c.IsRefused(canceled, s.addr()))
+	response, err := c.Do(testContext(t), newCall(s.addr()))
+	require.NoError(t, err)
+	_, err = readBody(t, response)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, s.conns.Load(), "the connection of the check is used")
+	require.NoError(t, s.listener.Close())
+	require.True(t, c.IsRefused(testContext(t), s.addr()))
+}
