--- a/internal/run/router/directory.go
+++ b/internal/run/router/directory.go
@@ -52,7 +52,7 @@
 
 func newDirectoryClient(now time.Time, r *Router) *directoryClient {
 	return &directoryClient{router: r, startedAt: now, client: &http.Client{
-		Timeout: engineTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+		Timeout: engineTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeader},
 	}}
 }
 
--- a/internal/run/router/list.go
+++ b/internal/run/router/list.go
@@ -49,7 +49,11 @@
 }
 
 func newListPoller(r *Router) *listPoller {
-	return &listPoller{router: r, client: &http.Client{Timeout: listTimeout}, address: r.settings.Router.InstanceList}
+	return &listPoller{router: r, client: newListClient(), address: r.settings.Router.InstanceList}
+}
+
+func newListClient() *http.Client {
+	return &http.Client{Timeout: listTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeader}}
 }
 
 func (p *listPoller) setAddress(address string) {
--- a/internal/run/router/web.go
+++ b/internal/run/router/web.go
@@ -20,7 +20,8 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout is longer than callers keep idle connections open.
 	idleTimeout = 60 * time.Second
-	// maxHeader is the maximum size of the headers of a request, in bytes.
+	// maxHeader is the maximum size of the headers of a request, or of a response to a
+	// router's own calls, in bytes.
 	maxHeader = 64 << 10
 )
 
