Log the suspect for which a request is refused

The line has suspect, parts and retry-after-ms now. Among suspects with the same end of quarantine the one with the fewest answers is named: in TestSoundRequestsInFlightAtCrashesStayServed the common first part was named, which had 2 answers for 4 crashes. Which requests are refused is unchanged.

--- a/internal/router/caller/crash_test.go
+++ b/internal/router/caller/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
@@ -130,5 +132,6 @@
 	}
 	answered()
 	require.Equal(t, 503, servers.send("common,deadly,own"))
+	require.Contains(t, servers.logged.String(), fmt.Sprintf(`"suspect":%d`, xxhash.Sum64String("deadly")))
 	answered()
 }
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -126,6 +126,8 @@
 	// fingerprints holds the fingerprint, followed by the shared parts of the prompt. If
 	// servers crash under one of them, such requests are no longer sent.
 	fingerprints []placement.Fingerprint
+	// quarantine is why the request must not be sent, if that is so.
+	quarantine placement.Quarantine
 	// retryAfter is the retry delay if the request is refused.
 	retryAfter time.Duration
 }
@@ -204,9 +206,9 @@
 // isQuarantined reports whether the request must not be sent, because such requests have
 // crashed too many servers.
 func (e *exchange) isQuarantined(now time.Time) bool {
-	remaining, quarantined := e.cfg.Servers.Quarantine(now, e.fingerprints...)
-	if quarantined {
-		e.retryAfter = remaining
+	var quarantined bool
+	if e.quarantine, quarantined = e.cfg.Servers.Quarantine(now, e.fingerprints...); quarantined {
+		e.retryAfter = e.quarantine.Until.Sub(now)
 	}
 	return quarantined
 }
@@ -304,6 +306,9 @@
 			"rank", e.choice.Rank, "affinity", e.request.Affinity(), "list-age-ms", e.choice.ListAge.Milliseconds(), "tried", len(e.tried),
 			"keepers", e.choice.CacheLocations, "fetched-from", e.choice.FetchFrom)
 	}
+	if kind == bronzerill.KindSuspect {
+		fields = append(fields, "suspect", uint64(e.quarantine.Suspect), "parts", e.request.SharedParts(), "retry-after-ms", e.retryAfter.Milliseconds())
+	}
 	if e.refusal.RetryAfter > 0 {
 		fields = append(fields, "least-wait-ms", e.refusal.Wait.Milliseconds(), "limit-ms", e.refusal.WaitLimit.Milliseconds(), "retry-after-ms", e.refusal.RetryAfter.Milliseconds())
 	}
--- a/internal/router/placement/quarantine.go
+++ b/internal/router/placement/quarantine.go
@@ -22,12 +22,12 @@
 	trialInterval = 5 * time.Second
 )
 
-// quarantine is the decision on a request: it isn't sent because of one of its fingerprints.
-type quarantine struct {
-	suspect Fingerprint
-	// until is the end of the quarantine. After it the suspect is on probation: single
+// Quarantine is the decision on a request: it isn't sent because of one of its fingerprints.
+type Quarantine struct {
+	Suspect Fingerprint
+	// Until is the end of the quarantine. After it the suspect is on probation: single
 	// requests are sent until it proves to be sound or crashes another server.
-	until time.Time
+	Until time.Time
 }
 
 // check returns the quarantine that applies to a request with these fingerprints.
@@ -36,8 +36,9 @@
 // with the culprit. So a suspect counts only together with its companions, which were lost
 // in each of its crashes and never answered since: which of them is the culprit is unknown
 // until one is answered, or crashes a server, without the other.
-func (s *Suspects) check(now time.Time, fingerprints []Fingerprint) (quarantine, bool) {
-	var applied quarantine
+func (s *Suspects) check(now time.Time, fingerprints []Fingerprint) (Quarantine, bool) {
+	var applied Quarantine
+	fewestAnswers := 0
 	for _, fingerprint := range fingerprints {
 		known, ok := s.suspects[fingerprint]
 		if !ok || !s.isQuarantinable(now, fingerprint) {
@@ -55,11 +56,13 @@
 			until = known.lastCrash().Add(trialInterval << min(crashes-ambiguousAfter, maxQuarantineDoublings))
 		case noCompanion:
 		}
-		if until.After(applied.until) {
-			applied = quarantine{fingerprint, until}
+		// Parts that came with the culprit may have been answered a few times.
+		answers := known.allAnswers()
+		if until.After(applied.Until) || until.Equal(applied.Until) && answers < fewestAnswers {
+			applied, fewestAnswers = Quarantine{fingerprint, until}, answers
 		}
 	}
-	return applied, !applied.until.IsZero()
+	return applied, !applied.Until.IsZero()
 }
 
 // isQuarantinable reports whether a suspect has crashed too many servers.
@@ -109,21 +112,19 @@
 	return closeness
 }
 
-// Quarantine reports whether a request must not be sent because requests with these
-// fingerprints have crashed too many servers, and the remaining time. After a quarantine, one
-// router sends single requests.
-func (t *Table) Quarantine(now time.Time, fingerprints ...Fingerprint) (remaining time.Duration, quarantined bool) {
+// Quarantine returns the quarantine because of which a request must not be sent, if there is
+// one. After a quarantine, one router sends single requests.
+func (t *Table) Quarantine(now time.Time, fingerprints ...Fingerprint) (Quarantine, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q, ok := t.suspects.check(now, fingerprints)
-	switch {
-	case !ok:
-		return 0, false
-	case now.Before(q.until):
-		return q.until.Sub(now), true
-	case t.isChosenRouter(uint64(q.suspect), 1) && now.Sub(t.trialAt) >= trialInterval:
+	if !ok || now.Before(q.Until) {
+		return q, ok
+	}
+	if t.isChosenRouter(uint64(q.Suspect), 1) && now.Sub(t.trialAt) >= trialInterval {
 		t.trialAt = now
-		return 0, false
+		return Quarantine{}, false
 	}
-	return trialInterval, true
+	q.Until = now.Add(trialInterval)
+	return q, true
 }
--- a/internal/router/placement/suspects_test.go
+++ b/internal/router/placement/suspects_test.go
@@ -16,7 +16,7 @@
 // servers.
 func (s *Suspects) IsQuarantined(now time.Time, fingerprints ...Fingerprint) bool {
 	q, ok := s.check(now, fingerprints)
-	return ok && now.Before(q.until)
+	return ok && now.Before(q.Until)
 }
 
 func isQuarantined(table *Table, now time.Time, fingerprints ...Fingerprint) bool {
