--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -106,7 +106,7 @@
 mutant "router: servers that fail together count one by one" $P/suspects.go 's/if !e\.sentAt\.Before\(last\) \{/if !e.sentAt.Before(last) || true {/' $P TestServersThatFailTogether
 mutant "router: answers don't clear a suspect" $P/suspects.go 's/\{ return s\.allAnswers\(\) >= s\.crashes\(\) \}/{ return false }/' $P 'TestAnswersEnd|TestDeadlyPart'
 mutant "router: companions of a suspect are ignored" $P/quarantine.go 's/closest = max\(closest, known\.companionOf\(exposures\)\)/_ = known/' $P 'TestSoundCompanion|TestRareBystander'
-mutant "router: all routers try a suspect after its quarantine" $P/quarantine.go 's/case t\.isChosenRouter\(uint64\(q\.suspect\), 1\) \&\& /case /' $P TestOneRouterTries
+mutant "router: all routers try a suspect after its quarantine" $P/quarantine.go 's/if t\.isChosenRouter\(uint64\(q\.Suspect\), 1\) \&\& /if /' $P TestOneRouterTries
 mutant "router: response headers aren't bounded" $V/client.go 's/conn\.limited\.remaining = maxHeadBytes/conn.limited.remaining = unlimited/' $V TestResponseWithoutEnd
 mutant "router: events aren't bounded" $C/stream.go 's/case s\.scanner\.open > maxEventBytes:/case false:/' $C TestEventWithoutEnd
 mutant "router: single bytes count as progress" $C/stream.go 's/if complete > 0 \{/if true {/' $C TestStalledStream
