--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -44,6 +44,8 @@
 	EventConnectionSilent Event = "connection-silent"
 	EventColdStart        Event = "cold-start"
 	EventCrash            Event = "server-crash"
+	EventRateLimitChanged Event = "server-rate-limit-changed"
+	EventRateLimitInvalid Event = "server-rate-limit-invalid"
 	EventReplayed         Event = "answer-replayed"
 	EventOrder            Event = "order-given"
 	EventStaleOrder       Event = "order-stale"
--- a/internal/router/caller/dialect.go
+++ b/internal/router/caller/dialect.go
@@ -85,6 +85,10 @@
 	Misdirected bool
 	// Load is the server's load, nil if it isn't reported.
 	Load *placement.ReportedLoad
+	// Limit is the server's limit on its requests. If LimitInvalid is set, the response
+	// states a limit that can't be parsed.
+	Limit        placement.RateLimit
+	LimitInvalid bool
 	// Closing is set if the server closes the connection.
 	Closing bool
 	// Signed is set if the response has the server's signature.
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -214,6 +214,7 @@
 	defer func() { _ = response.Body.Close() }() // the body has been read, or the connection is discarded
 	e.cfg.Servers.ConfirmUp(e.cfg.Clock(), e.choice, e.service.ColdStart)
 	info := e.cfg.Dialect.ParseResponse(response.Status, response.Header)
+	e.applyRateLimit(info)
 	if info.NotRun || info.Misdirected {
 		return e.refusedAttempt(info)
 	}
@@ -224,6 +225,21 @@
 	return e.forwardResponse(attemptCtx, response, now, latency)
 }
 
+// applyRateLimit records whether the server states a limit on its requests. Only a response
+// that certainly comes from the server shows that it has no limit.
+func (e *exchange) applyRateLimit(info ResponseInfo) {
+	switch {
+	case info.Misdirected:
+	case info.LimitInvalid:
+		metrics.Count(metrics.EventRateLimitInvalid)
+	case info.Limit.Limited || info.Signed || info.NotRun:
+		now := e.cfg.Clock()
+		if previous := e.cfg.Servers.SetRateLimit(now, e.choice.ID, info.Limit); previous != info.Limit {
+			e.logRateLimit(now, previous, info.Limit)
+		}
+	}
+}
+
 func (e *exchange) refusedAttempt(info ResponseInfo) attempt {
 	if info.Misdirected {
 		// The address belongs to another server now, so the picked one is gone.
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -276,6 +276,15 @@
 	}
 }
 
+// logRateLimit logs that the picked server states another limit than before.
+func (e *exchange) logRateLimit(now time.Time, previous, limit placement.RateLimit) {
+	metrics.Count(metrics.EventRateLimitChanged)
+	if e.failedLog.Allow(now) {
+		e.cfg.Log.Info("server limit changed", "server", e.choice.ID, "service", e.choice.Service, "request", e.request.ID,
+			"limited", limit.Limited, "per-second", limit.PerSecond, "before-limited", previous.Limited, "before-per-second", previous.PerSecond)
+	}
+}
+
 // logOutcome logs the outcome of the request, with the loads and waiting times by
 // which its server was picked or the request was refused.
 func (e *exchange) logOutcome(kind bronzerill.Kind, status int) {
--- a/internal/router/placement/server.go
+++ b/internal/router/placement/server.go
@@ -121,6 +121,7 @@
 	// confirmedUp is false after the server was down, until it has responded.
 	confirmedUp bool
 	coldBucket  bucket
+	limit       statedLimit
 }
 
 func (r *record) inFlight() int { return r.ownInFlight + r.peers.InFlight }
