--- a/internal/router/placement/admission.go
+++ b/internal/router/placement/admission.go
@@ -20,17 +20,16 @@
 	engine     bool
 	// refused is the number of servers that may not take the request, and minWait
 	// the shortest estimated wait there.
-	refused int
-	minWait time.Duration
-	// hardBound is the highest load at which an engine still takes a request.
-	hardBound float64
+	refused   int
+	minWait   time.Duration
+	hardBound hardBound
 }
 
 func (t *Table) newAdmission(now time.Time, q Query) *admission {
 	queue := t.queueOf(q.Service.Name)
 	limit := queue.WaitLimit(now, q.Request)
 	return &admission{
-		queue: queue, limit: limit, engine: q.Service.Engine, hardBound: t.hardLoadBound(now, q.Service.Name),
+		queue: queue, limit: limit, engine: q.Service.Engine, hardBound: t.newHardBound(now, q.Service.Name),
 		overloaded: q.Request.Remaining > 0 && queue.IsOverloaded(now, limit),
 	}
 }
@@ -39,7 +38,7 @@
 // within the hard bound. If the service is overloaded, the queue of the server must be
 // short or the estimated wait within the limit.
 func (a *admission) admits(now time.Time, r *record) bool {
-	if a.engine && float64(r.inFlight()) > a.hardBound {
+	if a.engine && float64(r.inFlight()) > a.hardBound.of(r) {
 		a.countRefusal(a.queue.Wait(now, r.queueLength()))
 		return false
 	}
--- a/internal/router/placement/bound.go
+++ b/internal/router/placement/bound.go
@@ -2,13 +2,42 @@
 
 import "time"
 
+// loadMean is the mean load of some servers. Servers with a rate limit can't take their
+// part of the load, so they count only if there are no others.
+type loadMean struct {
+	sum, n               int
+	limitedSum, limitedN int
+}
+
+func (m *loadMean) add(r *record) {
+	if r.limit.Limited {
+		m.limitedSum += r.inFlight()
+		m.limitedN++
+		return
+	}
+	m.sum += r.inFlight()
+	m.n++
+}
+
+func (m *loadMean) value() float64 {
+	if m.n == 0 {
+		return float64(m.limitedSum) / float64(max(1, m.limitedN))
+	}
+	return float64(m.sum) / float64(m.n)
+}
+
+// all returns the mean load of all servers.
+func (m *loadMean) all() float64 {
+	return float64(m.sum+m.limitedSum) / float64(max(1, m.n+m.limitedN))
+}
+
 // meanLoad returns the mean load of the candidates.
 func meanLoad(candidates []*record) float64 {
-	sum := 0
+	var mean loadMean
 	for _, r := range candidates {
-		sum += r.inFlight()
+		mean.add(r)
 	}
-	return float64(sum) / float64(len(candidates))
+	return mean.value()
 }
 
 // serviceMean returns the mean load of all running servers of a service, including
@@ -16,29 +45,39 @@
 // counts as down only until the next connection attempt is due: it may be back by
 // then, with little load.
 func (t *Table) serviceMean(now time.Time, service string) float64 {
-	sum, n := 0, 0
+	var mean loadMean
 	for _, r := range t.servers {
 		if r.Service == service && !now.Before(r.downUntil) {
-			sum += r.inFlight()
-			n++
+			mean.add(r)
 		}
 	}
-	return float64(sum) / float64(max(1, n))
+	return mean.value()
+}
+
+// hardBound is the load above which an engine gets no requests, even if the others are
+// cold and at their rate limit. Callers retry once another engine has warmed up.
+type hardBound struct {
+	// all is relative to the mean load of all engines, and unlimited to that of the
+	// engines without a rate limit.
+	all, unlimited float64
+}
+
+// of returns the bound of one engine. Engines take over the requests that others can't
+// take because of their rate limits, up to a share of their own slots.
+func (b hardBound) of(r *record) float64 {
+	return max(b.all, min(b.unlimited, takeoverShare*float64(r.Slots)))
 }
 
-// hardLoadBound returns the load above which an engine gets no requests, even if
-// the others are cold and at their rate limit. Callers retry once another engine
-// has warmed up. The bound is relative to the servers that are known to run, so
-// that callers aren't refused while most of a service is down.
-func (t *Table) hardLoadBound(now time.Time, service string) float64 {
-	sum, n := 0, 0
+// newHardBound returns the bound of a service. It is relative to the servers that are
+// known to run, so that callers aren't refused while most of a service is down.
+func (t *Table) newHardBound(now time.Time, service string) hardBound {
+	var mean loadMean
 	for _, r := range t.servers {
 		if r.Service == service && (r.confirmedUp || now.Before(r.coldUntil)) && !now.Before(r.downUntil) {
-			sum += r.inFlight()
-			n++
+			mean.add(r)
 		}
 	}
-	return t.loadMultiple()*float64(sum)/float64(max(1, n)) + boundSlack
+	return hardBound{all: t.loadMultiple()*mean.all() + boundSlack, unlimited: t.loadMultiple()*mean.value() + boundSlack}
 }
 
 // loadMultiple returns the configured multiple of the mean load.
@@ -58,6 +97,9 @@
 	minBoundMargin = 1.5
 	// boundSlack lets servers take requests while the mean is low.
 	boundSlack = 3.0
+	// takeoverShare is the share of its slots up to which an engine takes over requests
+	// of engines with a rate limit.
+	takeoverShare = 0.5
 	// boundUse is the fraction of the bound that is used while every router receives
 	// the digests of all others in each gossip round.
 	boundUse = 0.95
