--- a/internal/router/peer/message.go
+++ b/internal/router/peer/message.go
@@ -72,6 +72,8 @@
 	// RateLimits are the limits that servers stated to the sender. Only full digests have
 	// them.
 	RateLimits map[placement.ServerKey]placement.RateLimitReport `msgpack:"rate-limits,omitempty"`
+	// Routers is the number of routers that the sender knows, with itself.
+	Routers int `msgpack:"routers,omitempty"`
 }
 
 // Location is the compact form of a placement.CacheLocation.
--- a/internal/router/peer/table.go
+++ b/internal/router/peer/table.go
@@ -41,6 +41,8 @@
 	listSum      uint64
 	hasDirectory bool
 	disk         bool
+	// routers is the number of routers that the peer knows.
+	routers int
 }
 
 // Table holds the peers that this router knows. It is safe for concurrent use.
@@ -111,6 +113,7 @@
 	p.listSum = d.ListSum
 	p.hasDirectory = d.HasDirectory
 	p.disk = d.Disk
+	p.routers = d.Extension.Routers
 	p.listReadAt = time.Time{}
 	if d.ListAge >= 0 {
 		p.listReadAt = now.Add(-d.ListAge)
@@ -160,6 +163,21 @@
 	return names
 }
 
+// Count returns the number of routers that may be running. A router that has just started
+// knows only some of them by name, so it counts like the peer that knows most.
+func (t *Table) Count(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := max(1+len(t.peers), len(t.seeds))
+	if now.Before(t.savedPeersUntil) {
+		count = max(count, 1+len(t.savedPeers))
+	}
+	for _, p := range t.peers {
+		count = max(count, p.routers)
+	}
+	return count
+}
+
 // Rank returns the number of live peers whose name sorts before this router's.
 func (t *Table) Rank(now time.Time) int {
 	t.mu.Lock()
--- a/internal/router/peer/table_test.go
+++ b/internal/router/peer/table_test.go
@@ -64,6 +64,24 @@
 	require.Equal(t, withoutExtension, got)
 }
 
+func TestRouterCount(t *testing.T) {
+	require.Equal(t, 2, newTable().Count(start), "the seeds")
+	restarted := newTable()
+	restarted.SetSavedPeers([]string{"a:1", "b:1", "c:1"}, start.Add(time.Second))
+	require.Equal(t, 4, restarted.Count(start), "the peers before the restart and this router")
+
+	table := newTable()
+	d := digest("a", 1)
+	d.Extension.Routers = 33
+	require.True(t, table.Receive(start, d))
+	require.Equal(t, 33, table.Count(start), "as many as the peer knows")
+	require.Len(t, table.Names(), 2)
+	table.Expire(start.Add(expiryTimeout))
+	require.Equal(t, 33, table.Count(start.Add(expiryTimeout)), "those that were cut off may be running")
+	table.Expire(start.Add(expiryTimeout + time.Second))
+	require.Equal(t, 2, table.Count(start.Add(expiryTimeout+time.Second)))
+}
+
 func TestReceiveIgnoresOldDigests(t *testing.T) {
 	table := newTable()
 	require.True(t, table.Receive(start, digest("a", 2)))
--- a/internal/router/placement/affinity.go
+++ b/internal/router/placement/affinity.go
@@ -65,7 +65,7 @@
 	if prompt == 0 {
 		return 0
 	}
-	return t.locations.CountRequest(now, prompt) * float64(len(t.routers)) * maxLoadAge.Seconds()
+	return t.locations.CountRequest(now, prompt) * float64(t.routerCount) * maxLoadAge.Seconds()
 }
 
 // overflows decides at random whether a request goes to a server that doesn't have
--- a/internal/router/placement/bound.go
+++ b/internal/router/placement/bound.go
@@ -120,7 +120,7 @@
 // applies to actual loads. With more routers, the known loads are older, so the result is
 // lower.
 func (t *Table) loadBound(candidateMean, serviceMean, burst float64) float64 {
-	rounds := max(1, float64(len(t.routers))/routersPerRound)
+	rounds := max(1, float64(t.routerCount)/routersPerRound)
 	penalty := roundPenalty
 	if burst > floodThreshold {
 		penalty = hotRoundPenalty
--- a/internal/router/placement/load_test.go
+++ b/internal/router/placement/load_test.go
@@ -62,7 +62,7 @@
 	}
 	for _, name := range names {
 		table := newTable(name, list("guides", servers))
-		table.SetRouters(names)
+		table.SetRouters(names, len(names))
 		f.tables = append(f.tables, table)
 	}
 	return f
@@ -213,7 +213,7 @@
 	for i := range 30 {
 		names = append(names, fmt.Sprintf("entry-%d", i))
 	}
-	table.SetRouters(names)
+	table.SetRouters(names, len(names))
 	warm := pick(t, table, start, 5)
 	now := start.Add(10 * time.Second)
 	loads := make(map[ServerKey]RouterLoad)
--- a/internal/router/placement/outcome.go
+++ b/internal/router/placement/outcome.go
@@ -194,7 +194,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.queueOf(service).CountForCustomer(now, customer)
-	t.budget(service).CountRequest(t.limits.RetryRatio, t.limits.RetrySlack, len(t.routers))
+	t.budget(service).CountRequest(t.limits.RetryRatio, t.limits.RetrySlack, t.routerCount)
 }
 
 // SpendRetry takes one extra send from the retry budget of a service and reports
@@ -202,7 +202,7 @@
 func (t *Table) SpendRetry(service string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.budget(service).Spend(t.limits.RetrySlack, len(t.routers))
+	return t.budget(service).Spend(t.limits.RetrySlack, t.routerCount)
 }
 
 func (t *Table) budget(service string) *RetryBudget {
--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -83,7 +84,7 @@
 		t.orderByWait(candidates)
 	}
 	admission := t.newAdmission(now, q)
-	limiter := limiter{routers: len(t.routers)}
+	limiter := limiter{routers: t.routerCount}
 	for rank, r := range candidates {
 		if !admission.admits(now, r) || !limiter.admits(now, t, r) || !t.coldStartAllows(now, r, q.Service) {
 			continue
@@ -200,7 +201,7 @@
 	if s.ColdPerSecond <= 0 || !r.isCold(now) {
 		return true
 	}
-	senders, perSecond := coldSendRate(s.ColdPerSecond, len(t.routers))
+	senders, perSecond := coldSendRate(s.ColdPerSecond, t.routerCount)
 	if !t.isChosenRouter(xxhash.Sum64String(r.ID), senders) {
 		return false
 	}
@@ -208,9 +209,10 @@
 }
 
 // isChosenRouter reports whether this router is one of count routers that are chosen for a
-// key by rendezvous hash over all routers.
+// key by rendezvous hash over all routers. If it knows only some of the routers, its rank
+// among these must be as much higher.
 func (t *Table) isChosenRouter(key uint64, count int) bool {
-	if count >= len(t.routers) {
+	if count >= t.routerCount {
 		return true
 	}
 	own := rendezvous(key, t.cfg.Name)
@@ -220,5 +222,6 @@
 			above++
 		}
 	}
-	return above < count
+	known := float64(len(t.routers)) / float64(t.routerCount)
+	return above < int(math.Round(float64(count)*known))
 }
--- a/internal/router/placement/ratelimit_test.go
+++ b/internal/router/placement/ratelimit_test.go
@@ -60,7 +60,7 @@
 
 func (f *limitedFleet) newRouter(name string, servers int) *Table {
 	table := newTable(name, list("desk", servers))
-	table.SetRouters(f.names)
+	table.SetRouters(f.names, len(f.names))
 	return table
 }
 
@@ -295,3 +295,35 @@
 	}
 	require.Len(t, told, 500, "each server is reported in turn")
 }
+
+// TestRouterThatJustStartedTakesASmallShare covers routers that know the number of routers
+// but not yet their names.
+func TestRouterThatJustStartedTakesASmallShare(t *testing.T) {
+	const routers = 33
+	f := newLimitedFleet(t, routers, 1)
+	for i, table := range f.tables[:20] {
+		table.SetRouters([]string{f.names[i]}, routers)
+	}
+	const perSecond = 4
+	f.limits["desk-0"] = RateLimit{Limited: true, PerSecond: perSecond}
+	f.run(20*time.Second, 200)
+	f.requireWithinLimit("desk-0", perSecond, start.Add(learnTime))
+
+	cold := list("guides", 1)
+	cold[0].Cold = time.Hour
+	sent, extra := 0, 0
+	for i, table := range f.tables {
+		table.SetList(f.now, f.now, cold)
+		for at := f.now; at.Before(f.now.Add(time.Second)); at = at.Add(5 * time.Millisecond) {
+			if _, err := table.Pick(at, query(engineService, 0)); err == nil {
+				sent++
+			}
+		}
+		for table.SpendRetry("desk") && extra < 1000 {
+			extra++
+		}
+		require.Equal(t, routers, table.RouterCount(), f.names[i])
+	}
+	require.LessOrEqual(t, float64(sent), engineService.ColdPerSecond)
+	require.LessOrEqual(t, extra, 62, "the slack of the retry budget")
+}
--- a/internal/router/placement/suspects_test.go
+++ b/internal/router/placement/suspects_test.go
@@ -211,7 +211,7 @@
 	names := []string{"a", "b", "c"}
 	for _, name := range names {
 		table := newTable(name, list("desk", 6))
-		table.SetRouters(names)
+		table.SetRouters(names, len(names))
 		for i := range quarantineAfter {
 			c := Choice{Server: Server{ID: strconv.Itoa(i)}, SentAt: start.Add(time.Duration(i) * time.Second)}
 			table.ConnectionLost(c.SentAt.Add(time.Second), c, deadly)
--- a/internal/router/placement/table.go
+++ b/internal/router/placement/table.go
@@ -45,7 +45,10 @@
 	listAt  time.Time
 	limits  Limits
 	routers []string
-	budgets map[string]*RetryBudget
+	// routerCount is the number of routers that may be running. It exceeds the length of
+	// routers while this router knows only some of them.
+	routerCount int
+	budgets     map[string]*RetryBudget
 	// meanLatencies holds the mean latency of each route, in seconds.
 	meanLatencies map[string]float64
 	peers         map[string]peerReport
@@ -86,7 +89,9 @@
 
 		suspects: NewSuspects(),
 		queues:   make(map[string]*queueing.ServiceQueue),
-		routers:  []string{cfg.Name},
+
+		routers:     []string{cfg.Name},
+		routerCount: 1,
 	}
 }
 
@@ -97,12 +102,20 @@
 	t.limits = l
 }
 
-// SetRouters sets the names of all routers that may be running, including this one
-// and those that are unreachable.
-func (t *Table) SetRouters(names []string) {
+// SetRouters sets the names of all known routers that may be running, including this one
+// and those that are unreachable. The argument count is the number of all such routers,
+// if that is more.
+func (t *Table) SetRouters(names []string, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.routers, t.routerCount = names, max(count, len(names))
+}
+
+// RouterCount returns the number of routers by which this router computes its shares.
+func (t *Table) RouterCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.routers = names
+	return t.routerCount
 }
 
 // StateChange is a change in the known state of a server.
--- a/internal/router/placement/table_test.go
+++ b/internal/router/placement/table_test.go
@@ -123,7 +123,7 @@
 			var tables []*Table
 			for _, name := range names {
 				table := newTable(name, servers)
-				table.SetRouters(names)
+				table.SetRouters(names, len(names))
 				tables = append(tables, table)
 			}
 			var sent []time.Duration
@@ -188,7 +188,7 @@
 		requests, extra := 0, 0
 		for _, name := range names {
 			table := newTable(name, list("desk", 3))
-			table.SetRouters(names)
+			table.SetRouters(names, len(names))
 			for range 300 {
 				table.CountRequest(start, "desk", "")
 				requests++
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -132,6 +132,7 @@
 		log.Warn("saved peers not read", "error", err.Error())
 	}
 	r.peers.SetSavedPeers(savedPeers, now.Add(savedPeersFor))
+	r.updateRouters(now)
 	r.servers.SetLimits(placementLimits(*s.Router))
 	r.holder = newHolder(adapter, r.servers, log)
 	r.gossip, err = peer.NewGossip(peer.GossipConfig{
@@ -206,11 +207,17 @@
 func (r *Router) maintain(context.Context) {
 	now := time.Now()
 	r.peers.Expire(now)
-	r.servers.SetRouters(r.peers.Names())
+	r.updateRouters(now)
 	r.client.Sweep(now)
 	r.logLeaderChange(now)
 }
 
+// updateRouters passes the known routers to the table of servers, which computes this
+// router's shares.
+func (r *Router) updateRouters(now time.Time) {
+	r.servers.SetRouters(r.peers.Names(), r.peers.Count(now))
+}
+
 // logLeaderChange logs when the leader of the control group changes or is lost.
 func (r *Router) logLeaderChange(now time.Time) {
 	leader, term := r.group.leader(now)
@@ -227,6 +234,7 @@
 	d.ListAge, d.ListSum = r.list.age(now)
 	d.HasDirectory = r.directory.loaded.Load()
 	d.Disk = r.settings.Router.DataFolder != ""
+	d.Extension.Routers = len(r.peers.Names())
 	*d = d.WithObservations(r.servers.Observations(now))
 	if d.Full {
 		d.Locations = peer.CompactLocations(r.servers.LocationsToGossip(now))
@@ -238,6 +246,9 @@
 // applyDigest applies a peer's digest to the table of servers. If the peer has a newer
 // declared state, it requests a fetch of that state.
 func (r *Router) applyDigest(now time.Time, d peer.Digest) {
+	if d.Extension.Routers > r.servers.RouterCount() {
+		r.updateRouters(now)
+	}
 	r.servers.SetPeerLoads(now, d.From.Name, d.Loads)
 	if d.Full {
 		r.servers.SetPeerObservations(now, d.From.Name, d.Observations())
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -81,6 +81,7 @@
 	"neighbour.Digest":   peer.Digest{},
 	"neighbour.Digest.2": peer.Digest{},
 	"neighbour.Digest+":  peer.Extension{},
+	"neighbour.Digest+2": peer.Extension{},
 	"exchange.Open":      exchange.Open{},
 	"exchange.Frame":     exchange.Frame{},
 	"bronzerill.Delta":   bronzerill.Delta{},
@@ -97,6 +98,7 @@
 		}
 		message.(*peer.Digest).Extension = peer.Extension{}
 	},
+	"neighbour.Digest+":  func(message any) { message.(*peer.Extension).Routers = 0 },
 	"neighbour.Digest.2": func(message any) { message.(*peer.Digest).Extension = peer.Extension{} },
 }
 
