--- a/internal/router/caller/dialect.go
+++ b/internal/router/caller/dialect.go
@@ -29,6 +29,9 @@
 	// ResumeAfter is the ID of the last event that the caller received of a broken
 	// stream.
 	ResumeAfter string
+	// Resumes is the ID of the caller's attempt that received the first event of the
+	// stream to be resumed, empty for new requests.
+	Resumes string
 }
 
 // Affinity returns the ID of the last part that other requests may share. If the
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -261,9 +261,9 @@
 	if a.failure != nil {
 		status = a.failure.status
 	}
-	e.cfg.Log.Info("attempt failed", "request", e.request.ID, "server", e.choice.ID, "attempt", len(e.tried),
+	e.cfg.Log.Info("attempt failed", "request", e.request.ID, "server", e.choice.ID, "version", e.choice.Version, "attempt", len(e.tried),
 		"outcome", a.kind.String(), "run", a.run.String(), "status", status, "detail", a.detail,
-		"customer", e.customerName(), "print", uint64(e.fingerprint), "parts", e.request.SharedParts(), "began", !e.answerBeganAt.IsZero(),
+		"customer", e.customerName(), "print", uint64(e.fingerprint), "parts", e.request.SharedParts(), "began", !e.answerBeganAt.IsZero(), "forwarded", e.headWritten,
 		"ms", e.cfg.Clock().Sub(e.start).Milliseconds())
 }
 
@@ -311,10 +311,13 @@
 		fields = append(fields, "customer", e.customer.Name)
 	}
 	if e.choice.ID != "" {
-		fields = append(fields, "server", e.choice.ID, "load", e.choice.Load, "mean", e.choice.Mean, "bound", e.choice.Bound, "queue", e.choice.Queue, "wait-ms", e.choice.Wait.Milliseconds(),
+		fields = append(fields, "server", e.choice.ID, "version", e.choice.Version, "load", e.choice.Load, "mean", e.choice.Mean, "bound", e.choice.Bound, "queue", e.choice.Queue, "wait-ms", e.choice.Wait.Milliseconds(),
 			"rank", e.choice.Rank, "affinity", e.request.Affinity(), "list-age-ms", e.choice.ListAge.Milliseconds(), "tried", len(e.tried),
 			"keepers", e.choice.CacheLocations, "fetched-from", e.choice.FetchFrom)
 	}
+	if e.request.Resumes != "" || e.request.ResumeAfter != "" {
+		fields = append(fields, "resumes", e.request.Resumes, "resume-after", e.request.ResumeAfter)
+	}
 	if kind == bronzerill.KindSuspect {
 		fields = append(fields, "suspect", uint64(e.quarantine.Suspect), "parts", e.request.SharedParts(), "retry-after-ms", e.retryAfter.Milliseconds())
 	}
--- a/internal/router/placement/server.go
+++ b/internal/router/placement/server.go
@@ -25,6 +25,8 @@
 	// Born is the start time of the server process in Unix milliseconds, or 0 if
 	// unknown. An ID can be reused with a later Born.
 	Born int64 `msgpack:"b"`
+	// Version is the version of the server's software. It is empty if unknown.
+	Version string `msgpack:"v"`
 }
 
 // process identifies the process of the server. An ID can be reused.
--- a/internal/run/router/list.go
+++ b/internal/run/router/list.go
@@ -162,7 +162,7 @@
 	p.mu.Unlock()
 	for _, c := range p.router.servers.SetList(now, readAt, list) {
 		p.router.log.Info("server "+c.State, "server", c.Server.ID, "service", c.Server.Service, "zone", c.Server.Zone,
-			"address", c.Server.Addr, "cold-ms", c.Server.Cold.Milliseconds(), "list-age-ms", now.Sub(readAt).Milliseconds(), "from", source)
+			"address", c.Server.Addr, "version", c.Server.Version, "cold-ms", c.Server.Cold.Milliseconds(), "list-age-ms", now.Sub(readAt).Milliseconds(), "from", source)
 	}
 }
 
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -58,6 +58,7 @@
 	"neighbour.StateRequest":     peer.StateRequest{},
 	"neighbour.StateReply":       peer.StateReply{},
 	"neighbour.ListReply":        peer.ListReply{},
+	"neighbour.ListReply.2":      peer.ListReply{},
 	"neighbour.ProposeRequest":   peer.ProposeRequest{},
 	"neighbour.ProposeReply":     peer.ProposeReply{},
 	"neighbour.ReadRequest":      peer.ReadRequest{},
@@ -98,6 +99,11 @@
 		}
 		message.(*peer.Digest).Extension = peer.Extension{}
 	},
+	"neighbour.ListReply": func(message any) {
+		for i := range message.(*peer.ListReply).Servers {
+			message.(*peer.ListReply).Servers[i].Version = ""
+		}
+	},
 	"neighbour.Digest+":  func(message any) { message.(*peer.Extension).Routers = 0 },
 	"neighbour.Digest.2": func(message any) { message.(*peer.Digest).Extension = peer.Extension{} },
 }
