--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -37,7 +37,7 @@
 	for _, part := range strings.FieldsFunc(h.Get("Prompt"), func(r rune) bool { return r == ',' }) {
 		prompt = append(prompt, PromptPart{ID: xxhash.Sum64String(part), Tokens: 1})
 	}
-	return RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, Prompt: prompt, ResumeAfter: h.Get("Resume")}
+	return RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, Prompt: prompt, ResumeAfter: h.Get("Resume"), Resumes: h.Get("Resumes")}
 }
 
 func (testDialect) ForwardHeader(h http.Header, o ForwardOptions) http.Header {
