--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -165,17 +165,7 @@
 	if len(e.tried) > 0 && e.isQuarantined(now) {
 		return attempt{}, bronzerill.Errorf(bronzerill.KindSuspect, "quarantined after %d attempts", len(e.tried))
 	}
-	choice, err := e.cfg.Servers.Pick(now, placement.Query{
-		Service: placement.Service{
-			Name: e.service.Name, ColdStart: e.service.ColdStart,
-			ColdPerSecond: e.service.ColdPerSecond, Engine: e.service.Engine != nil,
-		},
-		Affinity:  e.request.Affinity(),
-		Excluded:  e.tried,
-		MayRepeat: e.route.MayRepeat(),
-		ZoneOut:   e.table.IsZoneOut,
-		Request:   e.queueingRequest(now),
-	})
+	choice, err := e.cfg.Servers.Pick(now, e.query(now))
 	if err != nil {
 		e.refusal = choice
 		return attempt{}, err
@@ -194,6 +184,22 @@
 	return a, nil
 }
 
+// query describes the request for the choice of a server.
+func (e *exchange) query(now time.Time) placement.Query {
+	return placement.Query{
+		Service: placement.Service{
+			Name: e.service.Name, ColdStart: e.service.ColdStart,
+			ColdPerSecond: e.service.ColdPerSecond, Engine: e.service.Engine != nil,
+		},
+		Affinity:  e.request.Affinity(),
+		Version:   e.version.get(),
+		Excluded:  e.tried,
+		MayRepeat: e.route.MayRepeat(),
+		ZoneOut:   e.table.IsZoneOut,
+		Request:   e.queueingRequest(now),
+	}
+}
+
 // queueingRequest returns the properties of the request that admission control needs.
 func (e *exchange) queueingRequest(now time.Time) queueing.Request {
 	return queueing.Request{
@@ -205,7 +211,7 @@
 // send sends the request to the picked server and forwards the response. It sets
 // latency to the time until the first event or the complete response.
 func (e *exchange) send(ctx context.Context, now time.Time, latency *time.Duration) attempt {
-	attemptCtx, timer := newSilenceTimer(ctx, e.firstEventTimeout(now))
+	attemptCtx, timer := newSilenceTimer(ctx, e.firstEventTimeout(now), e.mayMove(now))
 	defer timer.stop()
 	response, err := e.cfg.Client.Do(attemptCtx, e.newCall(now))
 	if err != nil {
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -31,6 +31,7 @@
 	Dialect Dialect
 	Servers *placement.Table
 	Client  *server.Client
+	Streams Streams
 	// Routes returns the current declared state, or nil before it is known.
 	Routes func() *declared.Table
 	// Clock returns the current time.
@@ -38,6 +39,15 @@
 	Log   hclog.Logger
 }
 
+// Streams knows at which version of a service's servers streams began.
+type Streams interface {
+	// Began records the version at which a stream began. The request is the caller's
+	// attempt that receives the first event.
+	Began(now time.Time, request string, version placement.VersionKey)
+	// Version returns the version at which a stream began, if it is known.
+	Version(ctx context.Context, now time.Time, request string) (placement.VersionKey, bool)
+}
+
 // Maximum log lines per second. A router is planned for 58 requests per second, its
 // share of 75,000 over 1,300 nodes. Failures have a larger budget than successes.
 const (
@@ -119,6 +129,9 @@
 	answerBeganAt time.Time
 	// headWritten is set once the response header is sent to the caller.
 	headWritten bool
+	// version is the version of the servers that may send events of the stream. It is 0
+	// before the first event of a new stream.
+	version streamVersion
 	// lastEventID is the ID of the last complete event sent to the caller.
 	lastEventID string
 	// fingerprint identifies the request when it is sent again.
@@ -158,10 +171,13 @@
 	if e.isQuarantined(e.start) {
 		return bronzerill.KindSuspect
 	}
-	e.service, found = e.table.Service(e.route.PickService(xxhash.Sum64String(e.request.ID)))
+	e.service, found = e.table.Service(e.route.PickService(xxhash.Sum64String(e.firstAttempt())))
 	if !found {
 		return bronzerill.KindUnknownRoute
 	}
+	if kind := e.findVersion(); kind != bronzerill.KindNone {
+		return kind
+	}
 	e.deadline = e.start.Add(e.route.Timeout)
 	if e.request.Timeout > 0 {
 		e.deadline = earlier(e.deadline, e.start.Add(e.request.Timeout))
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -83,6 +83,7 @@
 	servers  []placement.Server
 	received []*atomic.Int32
 	logged   *logBuffer
+	streams  *memoryStreams
 }
 
 // logBuffer is a log output that is safe for concurrent reads and writes.
@@ -104,7 +105,7 @@
 }
 
 func newTestRouter(t *testing.T, backends ...http.HandlerFunc) *testRouter {
-	router := &testRouter{t: t, logged: &logBuffer{}, table: placement.NewTable(placement.Config{Name: "a", Seed: 1})}
+	router := &testRouter{t: t, logged: &logBuffer{}, streams: &memoryStreams{}, table: placement.NewTable(placement.Config{Name: "a", Seed: 1})}
 	for i, backend := range backends {
 		received := new(atomic.Int32)
 		backendServer := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -138,7 +139,7 @@
 	}, nil)
 	handler := NewHandler(Config{
 		Dialect: testDialect{}, Servers: router.table, Client: server.NewClient(server.Config{Clock: time.Now}),
-		Routes: func() *declared.Table { return state }, Clock: time.Now,
+		Streams: router.streams, Routes: func() *declared.Table { return state }, Clock: time.Now,
 		Log: hclog.New(&hclog.LoggerOptions{Name: "a", JSONFormat: true, Output: router.logged}),
 	})
 	router.frontend = httptest.NewServer(handler)
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"time"
 
 	"bronzerill"
@@ -31,13 +32,18 @@
 	timer  *time.Timer
 }
 
-// newSilenceTimer returns a context that is canceled after timeout, and a timer whose
-// reset method postpones that. A timeout of 0 never cancels the context.
-func newSilenceTimer(ctx context.Context, timeout time.Duration) (context.Context, *silenceTimer) {
+// newSilenceTimer returns a context that is canceled after timeout if the request may
+// move then, and a timer whose reset method postpones that. A timeout of 0 never cancels
+// the context.
+func newSilenceTimer(ctx context.Context, timeout time.Duration, mayMove func() bool) (context.Context, *silenceTimer) {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	t := &silenceTimer{cancel: cancel}
 	if timeout > 0 {
-		t.timer = time.AfterFunc(timeout, cancel)
+		t.timer = time.AfterFunc(timeout, func() {
+			if mayMove() {
+				cancel()
+			}
+		})
 	}
 	return attemptCtx, t
 }
@@ -94,6 +100,18 @@
 	return e.route.MayRepeat() && runs < e.route.MaxAttempts
 }
 
+// mayMove returns a function that reports whether another server could take the request.
+// It may be called by any goroutine.
+func (e *exchange) mayMove(now time.Time) func() bool {
+	q := e.query(now)
+	q.Excluded = slices.Clone(q.Excluded)
+	return func() bool {
+		current := q
+		current.Version = e.version.get()
+		return e.cfg.Servers.HasOther(e.cfg.Clock(), current)
+	}
+}
+
 // Limits of a stream.
 const (
 	// streamBufferSize is the size of the read buffer, in bytes.
@@ -246,6 +264,7 @@
 func (e *exchange) forwardEvents(response *server.Response, controller *http.ResponseController, events []byte) bool {
 	if !e.headWritten {
 		e.headWritten = true
+		e.recordVersion()
 		e.copyHeader(response.Header)
 		e.w.WriteHeader(response.Status)
 	}
--- a/internal/router/peer/call.go
+++ b/internal/router/peer/call.go
@@ -76,6 +76,12 @@
 // DirectoryReply carries the prefix directory as far as the router knows it.
 type DirectoryReply struct{ Directory placement.DirectorySnapshot }
 
+// StreamRequest asks at which version a stream began.
+type StreamRequest struct{ Stream StreamKey }
+
+// StreamReply carries the version at which a stream began. It is 0 if unknown.
+type StreamReply struct{ Version placement.VersionKey }
+
 // BootstrapRequest asks for permission to bootstrap the control group.
 type BootstrapRequest struct{ Name, Addr string }
 
@@ -91,6 +97,7 @@
 	Join(ctx context.Context, r JoinRequest) error
 	GrantBootstrap(r BootstrapRequest) bool
 	Directory(now time.Time) placement.DirectorySnapshot
+	StreamVersion(stream StreamKey) (placement.VersionKey, bool)
 }
 
 // RPC serves a Handler over net/rpc, which calls its methods by name.
@@ -169,6 +176,12 @@
 	return nil
 }
 
+// Stream replies with the version at which a stream began.
+func (r *RPC) Stream(in *StreamRequest, out *StreamReply) error {
+	out.Version, _ = r.handler.StreamVersion(in.Stream)
+	return nil
+}
+
 // Found grants one replica permission to bootstrap the control group. Its name is fixed,
 // since peers call it by name.
 func (r *RPC) Found(in *BootstrapRequest, out *BootstrapReply) error {
--- a/internal/router/peer/gossip.go
+++ b/internal/router/peer/gossip.go
@@ -36,8 +36,10 @@
 	Fill func(now time.Time, d *Digest)
 	// Received is called for each new digest.
 	Received func(now time.Time, d Digest)
-	Clock    func() time.Time
-	Log      hclog.Logger
+	// ReceivedStream is called for each record of a stream.
+	ReceivedStream func(r StreamRecord)
+	Clock          func() time.Time
+	Log            hclog.Logger
 }
 
 // Gossip exchanges digests with peers over UDP.
@@ -125,6 +127,22 @@
 	}
 }
 
+// SendStream sends the record of a stream to peers. A record may be lost.
+func (g *Gossip) SendStream(r StreamRecord, targets []string) {
+	data := r.encode()
+	for _, target := range targets {
+		addr, err := net.ResolveUDPAddr("udp4", target)
+		if err != nil {
+			g.cfg.Log.Error("stream record not sent", "to", target, "error", err.Error())
+			continue
+		}
+		// Send errors are ignored, because other peers get the record too.
+		if n, err := g.conn.WriteToUDP(data, addr); err == nil {
+			digestBytesSent.Add(int64(n))
+		}
+	}
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
@@ -144,6 +162,10 @@
 			continue
 		}
 		digestBytesRead.Add(int64(n))
+		if record, ok := decodeStreamRecord(buffer[:n]); ok {
+			g.cfg.ReceivedStream(record)
+			continue
+		}
 		d, err := decodeDigest(buffer[:n])
 		if err != nil {
 			digestsUnreadable.Add(1)
--- a/internal/router/peer/message.go
+++ b/internal/router/peer/message.go
@@ -74,6 +74,9 @@
 	RateLimits map[placement.ServerKey]placement.RateLimitReport `msgpack:"rate-limits,omitempty"`
 	// Routers is the number of routers that the sender knows, with itself.
 	Routers int `msgpack:"routers,omitempty"`
+	// MixedServices are the services with servers of several versions, and the time since
+	// these were last seen. Only full digests have them.
+	MixedServices map[placement.ServiceKey]time.Duration `msgpack:"mixed-services,omitempty"`
 }
 
 // Location is the compact form of a placement.CacheLocation.
--- a/internal/router/placement/affinity.go
+++ b/internal/router/placement/affinity.go
@@ -31,7 +31,7 @@
 		// The bound limits the number of requests, so the load of a fast server isn't
 		// scaled down.
 		load[r] = (float64(r.inFlight()+1) + r.unreported()) * max(1, r.relativeLatency())
-		score[r] = rendezvous(affinity, r.ID)
+		score[r] = Rendezvous(affinity, r.ID)
 		if slices.Contains(locations, r.key) {
 			score[r] = 1 + t.weightedDraw(bound-load[r])
 			capacity += max(0, bound-load[r])
@@ -89,9 +89,9 @@
 	return math.Pow(t.random.Float64(), 1/max(minDrawWeight, weight))
 }
 
-// rendezvous returns the rendezvous hash of a key and an ID. It is greater than 0
+// Rendezvous returns the rendezvous hash of a key and an ID. It is greater than 0
 // and uniform over the pairs.
-func rendezvous(key uint64, id string) float64 {
+func Rendezvous(key uint64, id string) float64 {
 	h := xxhash.Sum64String(id) ^ key
 	h ^= h >> 33
 	h *= 0xff51afd7ed558ccd
--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -17,6 +17,8 @@
 	Service Service
 	// Affinity is the hash of the deepest shared part of the prompt, or 0 for none.
 	Affinity uint64
+	// Version restricts the request to servers of one version, unless it is 0.
+	Version VersionKey
 	// Excluded holds the IDs of the servers that were already tried.
 	Excluded []string
 	// MayRepeat is set for requests that can safely run twice. They may go to a
@@ -63,7 +65,8 @@
 }
 
 // Pick picks a server and counts the request as in flight there. It returns an
-// error of kind no-server if no server may take the request, of kind cold if all
+// error of kind no-server if no server may take the request, of kind version-gone if
+// none of the version is left, of kind cold if all
 // candidates are cold, of kind rate-limited if the servers' own limits leave nothing,
 // and of kind overloaded if the wait would be too long at each. With the last two
 // kinds, RetryAfter of the choice is set.
@@ -72,6 +75,9 @@
 	defer t.mu.Unlock()
 	t.sumPeers(now)
 	candidates := t.candidates(now, q)
+	if len(candidates) == 0 && q.Version != 0 && !t.hasVersion(q) {
+		return Choice{}, bronzerill.Errorf(bronzerill.KindVersionGone, "no server of %s has the version of the stream", q.Service.Name)
+	}
 	if len(candidates) == 0 {
 		return Choice{}, bronzerill.Errorf(bronzerill.KindNoServer, "no server of %s is available", q.Service.Name)
 	}
@@ -155,6 +161,9 @@
 	var candidates, down, ejected []*record
 	for _, r := range t.servers {
 		r.observations.advance(now)
+		if q.Version != 0 && r.VersionKey() != q.Version {
+			continue
+		}
 		if r.Service != q.Service.Name || r.Leaving || q.ZoneOut(r.Zone) || slices.Contains(q.Excluded, r.ID) {
 			continue
 		}
@@ -215,10 +224,10 @@
 	if count >= t.routerCount {
 		return true
 	}
-	own := rendezvous(key, t.cfg.Name)
+	own := Rendezvous(key, t.cfg.Name)
 	above := 0
 	for _, name := range t.routers {
-		if rendezvous(key, name) > own {
+		if Rendezvous(key, name) > own {
 			above++
 		}
 	}
--- a/internal/router/placement/table.go
+++ b/internal/router/placement/table.go
@@ -62,6 +62,10 @@
 	trialAt time.Time
 	// queues holds the wait estimates of each service.
 	queues map[string]*queueing.ServiceQueue
+	// versions holds one version of the servers of each service in the last list, and
+	// mixedAt when servers of several versions were last seen.
+	versions map[ServiceKey]VersionKey
+	mixedAt  map[ServiceKey]time.Time
 }
 
 // peerReport is the latest report of a peer.
@@ -89,6 +93,7 @@
 
 		suspects: NewSuspects(),
 		queues:   make(map[string]*queueing.ServiceQueue),
+		mixedAt:  make(map[ServiceKey]time.Time),
 
 		routers:     []string{cfg.Name},
 		routerCount: 1,
@@ -134,6 +139,8 @@
 	}
 	first := t.listAt.IsZero()
 	t.listAt = readAt
+	list = t.withKnownVersions(list)
+	t.noteVersions(now, list)
 	var changes []StateChange
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
--- /dev/null
+++ b/internal/router/placement/version.go
@@ -0,0 +1,116 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// VersionKey is a short hash of a service and a software version of its servers. What
+// servers of different versions generate can't be combined in one stream.
+type VersionKey uint32
+
+// VersionKey returns the key of the server's version. It is never 0.
+func (s Server) VersionKey() VersionKey {
+	return VersionKey(max(1, uint32(xxhash.Sum64String(s.Service+"\x00"+s.Version))))
+}
+
+// ServiceKey is a short hash of the name of a service, used in digests.
+type ServiceKey uint32
+
+func serviceKeyOf(service string) ServiceKey { return ServiceKey(xxhash.Sum64String(service)) }
+
+// mixedMemory is how long after servers of several versions were listed a resumed stream
+// may have begun at any of these. It is longer than streams last, with their resumptions.
+const mixedMemory = 60 * time.Second
+
+// withKnownVersions adds the versions that are missing in a list. Routers of earlier builds
+// pass lists on without versions.
+func (t *Table) withKnownVersions(list []Server) []Server {
+	list = slices.Clone(list)
+	for i, s := range list {
+		if r, known := t.servers[s.ID]; known && s.Version == "" && r.process() == s.process() {
+			list[i].Version = r.Version
+		}
+	}
+	return list
+}
+
+// noteVersions records which services have servers of more than one version in this list
+// and the previous one together. Servers of unknown versions don't count.
+func (t *Table) noteVersions(now time.Time, list []Server) {
+	versions := make(map[ServiceKey]VersionKey, len(t.versions))
+	for _, s := range list {
+		if s.Version == "" {
+			continue
+		}
+		service, version := serviceKeyOf(s.Service), s.VersionKey()
+		before, listed := versions[service]
+		if !listed {
+			before, listed = t.versions[service]
+		}
+		if listed && before != version {
+			t.mixedAt[service] = now
+		}
+		versions[service] = version
+	}
+	for service, version := range t.versions {
+		if _, listed := versions[service]; !listed {
+			// Servers of another version may be listed later.
+			versions[service] = version
+		}
+	}
+	t.versions = versions
+}
+
+// HasMixedVersions reports whether servers of several versions have served a service
+// recently, as far as this router and its peers know.
+func (t *Table) HasMixedVersions(now time.Time, service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.mixedAt[serviceKeyOf(service)]
+	return ok && now.Sub(at) < mixedMemory
+}
+
+// MixedServices returns the services with servers of several versions, and the time since
+// these were last seen. Routers that have just started learn of them from their peers.
+func (t *Table) MixedServices(now time.Time) map[ServiceKey]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ages := make(map[ServiceKey]time.Duration)
+	for service, at := range t.mixedAt {
+		if age := now.Sub(at); age < mixedMemory {
+			ages[service] = age
+		} else {
+			delete(t.mixedAt, service)
+		}
+	}
+	return ages
+}
+
+// SetPeerMixedServices applies what a peer knows of services with several versions.
+func (t *Table) SetPeerMixedServices(now time.Time, ages map[ServiceKey]time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service, age := range ages {
+		t.mixedAt[service] = latest(t.mixedAt[service], now.Add(-max(0, age)))
+	}
+}
+
+// hasVersion reports whether a server of the query's version is listed that isn't leaving.
+func (t *Table) hasVersion(q Query) bool {
+	for _, r := range t.servers {
+		if r.Service == q.Service.Name && !r.Leaving && r.VersionKey() == q.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// HasOther reports whether another server than those excluded could take the request now.
+func (t *Table) HasOther(now time.Time, q Query) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.candidates(now, q)) > 0
+}
--- /dev/null
+++ b/internal/router/placement/version_test.go
@@ -0,0 +1,82 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzerill"
+)
+
+// withVersions returns engines with these versions.
+func withVersions(versions ...string) []Server {
+	servers := list("guides", len(versions))
+	for i, version := range versions {
+		servers[i].Version = version
+	}
+	return servers
+}
+
+func TestMixedVersions(t *testing.T) {
+	const interval = 500 * time.Millisecond
+	tests := []struct {
+		name  string
+		lists [][]Server
+		mixed bool
+	}{
+		{"one version", [][]Server{withVersions("v1", "v1"), withVersions("v1")}, false},
+		{"side by side", [][]Server{withVersions("v1", "v2")}, true},
+		{"one after the other", [][]Server{withVersions("v1"), withVersions("v2")}, true},
+		{"one after the other, with none between", [][]Server{withVersions("v1"), nil, withVersions("v2")}, true},
+		{"two services", [][]Server{append(withVersions("v1"), Server{ID: "d", Service: "desk", Version: "v9"})}, false},
+		{"a list without versions", [][]Server{withVersions("v1", "v1"), withVersions("", ""), withVersions("v1", "v1")}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := NewTable(Config{Name: "a"})
+			now := start
+			for _, servers := range test.lists {
+				now = now.Add(interval)
+				table.SetList(now, now, servers)
+			}
+			require.Equal(t, test.mixed, table.HasMixedVersions(now, "guides"))
+			require.False(t, table.HasMixedVersions(now, "desk"))
+			require.False(t, table.HasMixedVersions(now.Add(mixedMemory), "guides"))
+
+			restarted := NewTable(Config{Name: "b"})
+			restarted.SetPeerMixedServices(now, table.MixedServices(now))
+			require.Equal(t, test.mixed, restarted.HasMixedVersions(now, "guides"), "peers tell")
+			require.Empty(t, restarted.MixedServices(now.Add(mixedMemory)))
+		})
+	}
+}
+
+func TestPickKeepsToTheVersion(t *testing.T) {
+	table := newTable("a", withVersions("v1", "v2", "v1", "v2"))
+	q := query(engineService, 7)
+	q.Version = Server{Service: "guides", Version: "v2"}.VersionKey()
+	for range 20 {
+		choice, err := table.Pick(start, q)
+		require.NoError(t, err)
+		require.Equal(t, "v2", choice.Version)
+		table.Finish(start, choice, "r", OutcomeAnswered, time.Millisecond)
+	}
+	require.True(t, table.HasOther(start, q))
+	q.Excluded = []string{"guides-1", "guides-3"}
+	require.False(t, table.HasOther(start, q))
+	_, err := table.Pick(start, q)
+	require.Equal(t, bronzerill.KindNoServer, bronzerill.KindOf(err), "the servers of the version were tried")
+
+	q.Excluded = nil
+	table.SetLeaving("guides-1")
+	table.SetLeaving("guides-3")
+	_, err = table.Pick(start, q)
+	require.Equal(t, bronzerill.KindVersionGone, bronzerill.KindOf(err))
+}
+
+func TestVersionKeyTellsServicesApart(t *testing.T) {
+	a, b := Server{Service: "a", Version: "v1"}, Server{Service: "b", Version: "v1"}
+	require.NotEqual(t, a.VersionKey(), b.VersionKey())
+	require.NotZero(t, Server{}.VersionKey())
+}
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -236,6 +236,11 @@
 	return g.router.servers.Directory(now)
 }
 
+// StreamVersion returns the version at which a stream began, if this router knows it.
+func (g *group) StreamVersion(stream peer.StreamKey) (placement.VersionKey, bool) {
+	return g.router.streams.records.Version(stream)
+}
+
 // Propose replicates a command if this router is the leader.
 func (g *group) Propose(ctx context.Context, command []byte) (uint64, error) {
 	node, isLeader := g.localLeader(time.Now())
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -59,6 +59,7 @@
 	group        *group
 	list         *listPoller
 	directory    *directoryClient
+	streams      *streamRegistry
 	// callerServer is the HTTP server for callers.
 	callerServer *http.Server
 	stopping     atomic.Bool
@@ -135,8 +136,10 @@
 	r.updateRouters(now)
 	r.servers.SetLimits(placementLimits(*s.Router))
 	r.holder = newHolder(adapter, r.servers, log)
+	r.streams = newStreamRegistry(r, peer.NewClients(secret))
 	r.gossip, err = peer.NewGossip(peer.GossipConfig{
-		Self: self, Listen: s.Router.Internal, Table: r.peers, Fill: r.fillDigest, Received: r.applyDigest, Clock: time.Now, Log: log,
+		Self: self, Listen: s.Router.Internal, Table: r.peers, Fill: r.fillDigest, Received: r.applyDigest,
+		ReceivedStream: r.streams.records.Add, Clock: time.Now, Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -146,7 +149,7 @@
 	r.directory = newDirectoryClient(now, r)
 	r.group = newGroup(r, secret)
 	r.handler = caller.NewHandler(caller.Config{
-		Dialect: adapter, Servers: r.servers, Client: r.client, Routes: r.holder.Table, Clock: time.Now, Log: log,
+		Dialect: adapter, Servers: r.servers, Client: r.client, Streams: r.streams, Routes: r.holder.Table, Clock: time.Now, Log: log,
 	})
 	return r, nil
 }
@@ -240,6 +243,7 @@
 		d.Locations = peer.CompactLocations(r.servers.LocationsToGossip(now))
 		d.Suspects = r.servers.SuspectsToGossip(now)
 		d.Extension.RateLimits = r.servers.RateLimitsToGossip(now)
+		d.Extension.MixedServices = r.servers.MixedServices(now)
 	}
 }
 
@@ -255,6 +259,7 @@
 		r.servers.AddPeerLocations(now, d.CacheLocations())
 		r.servers.SetPeerSuspects(now, d.From.Name, d.Suspects)
 		r.servers.SetPeerRateLimits(now, d.Extension.RateLimits)
+		r.servers.SetPeerMixedServices(now, d.Extension.MixedServices)
 	}
 	if d.Revision > r.holder.Revision() {
 		r.holder.requestFetch(d.From.Addr)
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -66,6 +66,8 @@
 	"neighbour.JoinRequest":      peer.JoinRequest{},
 	"neighbour.JoinReply":        peer.JoinReply{},
 	"neighbour.DirectoryReply":   peer.DirectoryReply{},
+	"neighbour.StreamRequest":    peer.StreamRequest{},
+	"neighbour.StreamReply":      peer.StreamReply{},
 	"neighbour.FoundRequest":     peer.BootstrapRequest{},
 	"neighbour.FoundReply":       peer.BootstrapReply{},
 }
@@ -83,6 +85,7 @@
 	"neighbour.Digest.2": peer.Digest{},
 	"neighbour.Digest+":  peer.Extension{},
 	"neighbour.Digest+2": peer.Extension{},
+	"neighbour.Digest+3": peer.Extension{},
 	"exchange.Open":      exchange.Open{},
 	"exchange.Frame":     exchange.Frame{},
 	"bronzerill.Delta":   bronzerill.Delta{},
@@ -104,7 +107,11 @@
 			message.(*peer.ListReply).Servers[i].Version = ""
 		}
 	},
-	"neighbour.Digest+":  func(message any) { message.(*peer.Extension).Routers = 0 },
+	"neighbour.Digest+": func(message any) {
+		e := message.(*peer.Extension)
+		e.Routers, e.MixedServices = 0, nil
+	},
+	"neighbour.Digest+2": func(message any) { message.(*peer.Extension).MixedServices = nil },
 	"neighbour.Digest.2": func(message any) { message.(*peer.Digest).Extension = peer.Extension{} },
 }
 
--- a/kind.go
+++ b/kind.go
@@ -54,6 +54,8 @@
 	KindTimeout
 	KindExpired
 	KindRateLimited
+	KindVersionGone
+	KindUnknownStream
 	kindCount
 )
 
@@ -149,6 +151,8 @@
 	KindTimeout:        {"timeout", http.StatusGatewayTimeout, RunUnknown, RetryLater},
 	KindExpired:        {"expired", http.StatusServiceUnavailable, RunNot, RetryLater},
 	KindRateLimited:    {"rate-limited", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
+	KindVersionGone:    {"version-gone", http.StatusServiceUnavailable, RunNot, RetryNever},
+	KindUnknownStream:  {"unknown-stream", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
 }
 
 // String returns the kebab-case name of the kind.
