--- a/internal/agent/engine/runner.go
+++ b/internal/agent/engine/runner.go
@@ -72,7 +72,7 @@
 func (r *Runner) Run(ctx context.Context, o exchange.Open, sink entry.Sink) error {
 	generation := r.monitor.Generation()
 	id := o.ID.Request + "." + o.ID.Attempt
-	err := r.run(ctx, o, id, sink)
+	err := r.run(ctx, o, id, generation, sink)
 	if err == nil {
 		return nil
 	}
@@ -93,7 +93,7 @@
 	return bronzerill.Errorf(bronzerill.KindCanceled, "request canceled while it was running on the engine")
 }
 
-func (r *Runner) run(ctx context.Context, o exchange.Open, id string, sink entry.Sink) error {
+func (r *Runner) run(ctx context.Context, o exchange.Open, id, generation string, sink entry.Sink) error {
 	response, err := r.cfg.Client.post(ctx, o.Path, id, o.ContentType, o.Body)
 	if err != nil {
 		return transportError(err)
@@ -110,7 +110,7 @@
 	}
 	contentType := response.Header.Get("Content-Type")
 	if strings.HasPrefix(contentType, "text/event-stream") {
-		return r.copyEvents(ctx, o, id, response, sink)
+		return r.copyEvents(ctx, o, id, generation, response, sink)
 	}
 	return r.copyBody(o, response, contentType, sink)
 }
@@ -144,7 +144,7 @@
 // writerOnly hides the other methods of the sink from io.CopyBuffer.
 type writerOnly struct{ io.Writer }
 
-func (r *Runner) copyEvents(ctx context.Context, o exchange.Open, id string, response *http.Response, sink entry.Sink) error {
+func (r *Runner) copyEvents(ctx context.Context, o exchange.Open, id, generation string, response *http.Response, sink entry.Sink) error {
 	pool, _ := r.cfg.View().Config.Pool(r.cfg.Pool)
 	e := &eventCopier{sink: sink}
 	if pool.EchoesRequestID {
@@ -154,7 +154,7 @@
 	err := e.copy(response.Body)
 	defer awaitBodyEnd(response.Body)
 	for tries := 0; !e.done && tries < maxResumes && isInterrupted(err) && ctx.Err() == nil; tries++ {
-		err = r.resume(ctx, id, e, err)
+		err = r.resume(ctx, id, generation, e, err)
 	}
 	if e.done {
 		r.recordWarmth(o, e.cachedTokens > 0)
@@ -182,8 +182,9 @@
 }
 
 // resume copies the rest of an interrupted stream. It returns the cause of the
-// interruption if the engine doesn't resume the stream.
-func (r *Runner) resume(ctx context.Context, id string, e *eventCopier, cause error) error {
+// interruption if the engine doesn't resume the stream, or isn't the process that began
+// it: another one may generate something else.
+func (r *Runner) resume(ctx context.Context, id, generation string, e *eventCopier, cause error) error {
 	response, err := r.cfg.Client.resume(ctx, id, e.offset)
 	if err != nil {
 		return cause
@@ -192,6 +193,10 @@
 	if response.StatusCode != http.StatusOK {
 		return cause
 	}
+	// The process is asked for after it has answered, so it can't be replaced in between.
+	if load, err := r.cfg.Client.Load(ctx); err != nil || load.Generation != generation {
+		return cause
+	}
 	metrics.Count(metrics.EventEngineResume)
 	return e.copy(response.Body)
 }
--- a/internal/agent/engine/runner_test.go
+++ b/internal/agent/engine/runner_test.go
@@ -129,6 +129,44 @@
 	}
 }
 
+// TestStreamIsNotResumedAtAnotherEngineProcess replaces the engine process while a stream is
+// interrupted. The new process, maybe of another version, offers to go on with the stream.
+func TestStreamIsNotResumedAtAnotherEngineProcess(t *testing.T) {
+	const (
+		oldEvent = `data: {"id":"r1.1","choices":[{"index":0}]}` + "\n\n"
+		newEvent = `data: {"id":"r1.1","choices":[{"index":1}]}` + "\n\n"
+	)
+	var restarted atomic.Bool
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == pathLoad:
+			generation := "1"
+			if restarted.Load() {
+				generation = "2"
+			}
+			assert.NoError(t, json.NewEncoder(w).Encode(Load{Generation: generation, Slots: 8}))
+		case r.Method == http.MethodGet:
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, newEvent+"data: [DONE]\n\n")
+		default:
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, oldEvent)
+			_ = http.NewResponseController(w).Flush()
+			restarted.Store(true)
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer engine.Close()
+	h := newHarness(t, warmEngine())
+	h.runner.cfg.Client = NewClient(engine.URL)
+	defer h.runner.cfg.Client.Close()
+	h.runner.Poll(t.Context())
+	s := &sink{}
+	err := h.runner.Run(t.Context(), chatOpen("r1", chatBody("hello", "family-7")), s)
+	require.Equal(t, bronzerill.KindServerFailed, bronzerill.KindOf(err), "%v", err)
+	require.Equal(t, oldEvent, s.String())
+}
+
 func TestUnreachableEngineReportsNotRun(t *testing.T) {
 	server := httptest.NewServer(nil)
 	server.Close()
