--- a/internal/run/router/resume_test.go
+++ b/internal/run/router/resume_test.go
@@ -49,9 +49,16 @@
 	return fmt.Sprintf(`{"id":%q,"service":"chat","address":%q,"zone":"zone-a","slots":48,"state":"ready","version":%q},`, id, s.Listener.Addr(), version)
 }
 
+// receivedStream is a response that a caller reads event by event.
+type receivedStream struct {
+	t      *testing.T
+	status int
+	reader *bufio.Reader
+}
+
 // stream calls the route of the streams at a router. A caller that resumes names the attempt
 // that brought the first event.
-func (c *cluster) stream(router int, id, resumes string) *http.Response {
+func (c *cluster) stream(router int, id, resumes string) *receivedStream {
 	request, err := http.NewRequest(http.MethodPost, "http://"+c.addr(router, "callers")+"/s/x", strings.NewReader("body"))
 	require.NoError(c.t, err)
 	request.Host = "h"
@@ -62,38 +69,30 @@
 	}
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
 	require.NoError(c.t, err)
-	return response
+	c.t.Cleanup(func() { _ = response.Body.Close() })
+	return &receivedStream{t: c.t, status: response.StatusCode, reader: bufio.NewReader(response.Body)}
 }
 
-// versionOf reads the events of a response up to the given one, and returns their version.
-// It closes the response after the last event of the stream.
-func versionOf(t *testing.T, response *http.Response, last int) string {
-	reader := bufio.NewReader(response.Body)
+// versionUpTo reads the events up to the given one and returns their version.
+func (s *receivedStream) versionUpTo(last int) string {
+	require.Equal(s.t, http.StatusOK, s.status)
 	version := ""
 	for id := 0; id < last; {
-		line, err := reader.ReadString('\n')
-		require.NoError(t, err)
+		line, err := s.reader.ReadString('\n')
+		require.NoError(s.t, err)
 		if text, ok := strings.CutPrefix(line, "id: "); ok {
 			id, err = strconv.Atoi(strings.TrimSpace(text))
-			require.NoError(t, err)
+			require.NoError(s.t, err)
 		}
 		if data, ok := strings.CutPrefix(line, "data: "); ok {
 			data = strings.TrimSpace(data)
-			require.True(t, version == "" || version == data, "%s after %s", data, version)
+			require.True(s.t, version == "" || version == data, "%s after %s", data, version)
 			version = data
 		}
 	}
-	if last == lastEvent {
-		require.NoError(t, response.Body.Close())
-	}
 	return version
 }
 
-func (c *cluster) requireRefused(response *http.Response) {
-	require.NoError(c.t, response.Body.Close())
-	require.Equal(c.t, http.StatusServiceUnavailable, response.StatusCode)
-}
-
 // TestStreamIsResumedAtItsVersionAfterItsRouterWasKilled kills the router that the callers
 // are connected to. They resume their streams at other routers, one of which has just started.
 func TestStreamIsResumedAtItsVersionAfterItsRouterWasKilled(t *testing.T) {
@@ -113,7 +112,7 @@
 	begun := make(map[string]string)
 	for i := range 12 {
 		id := fmt.Sprintf("first-%d", i)
-		begun[id] = versionOf(t, c.stream(3, id, ""), pauseAfter)
+		begun[id] = c.stream(3, id, "").versionUpTo(pauseAfter)
 	}
 	c.stop[3]()
 	c.routers = append(c.routers, nil)
@@ -125,26 +124,25 @@
 	versions := make(map[string]bool)
 	for id, version := range begun {
 		for _, router := range []int{0, 1, 4} {
-			response := c.stream(router, fmt.Sprintf("%s-at-%d", id, router), id)
-			require.Equal(t, http.StatusOK, response.StatusCode)
-			require.Equal(t, version, versionOf(t, response, lastEvent))
+			resumed := c.stream(router, fmt.Sprintf("%s-at-%d", id, router), id)
+			require.Equal(t, version, resumed.versionUpTo(lastEvent))
 		}
 		versions[version] = true
 	}
 	require.Len(t, versions, 2)
 
-	c.requireRefused(c.stream(4, "r", "nobody knows"))
+	require.Equal(t, http.StatusServiceUnavailable, c.stream(4, "r", "nobody knows").status)
 	c.extraServers.Store(streamEntry("s-2", "v2", servers["v2"]))
 	require.Eventually(t, func() bool {
 		list, _ := c.routers[0].list.current()
 		return !slices.ContainsFunc(list, func(s placement.Server) bool { return s.ID == "s-1" })
 	}, waitTimeout, 20*time.Millisecond)
 	for id, version := range begun {
-		response := c.stream(0, id+"-late", id)
+		resumed := c.stream(0, id+"-late", id)
 		if version == "v1" {
-			c.requireRefused(response)
+			require.Equal(t, http.StatusServiceUnavailable, resumed.status, "no server of its version is left")
 			continue
 		}
-		require.Equal(t, version, versionOf(t, response, lastEvent))
+		require.Equal(t, version, resumed.versionUpTo(lastEvent))
 	}
 }
