--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -217,7 +218,10 @@
 	world                      *world
 	sent                       atomic.Int64
 	answered, refused, unknown atomic.Int64
-	mu                         sync.Mutex
+	// resumed and notResumed count the streams that broke and were resumed at another
+	// router, or refused there.
+	resumed, notResumed atomic.Int64
+	mu                  sync.Mutex
 	// refusals counts refused requests by reason.
 	refusals map[string]int
 }
@@ -236,7 +240,8 @@
 func (c *callers) String() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fmt.Sprintf("%d answered, %d refused as not run %v, %d unknown", c.answered.Load(), c.refused.Load(), c.refusals, c.unknown.Load())
+	return fmt.Sprintf("%d answered, %d refused as not run %v, %d unknown, %d streams resumed, %d not", c.answered.Load(), c.refused.Load(), c.refusals,
+		c.unknown.Load(), c.resumed.Load(), c.notResumed.Load())
 }
 
 // run sends requests to random routers until ctx ends.
@@ -284,9 +289,52 @@
 	}
 	data, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
+	if events := completeEvents(string(data)); err != nil && path == "/resumable/" && len(events) > 0 {
+		c.resume(client, router+1, path, id, events)
+	}
 	return c.checkResponse(router, path, id, response, string(data), err, wasUp && time.Since(startedAt) < time.Second)
 }
 
+// completeEvents returns the complete events at the start of a body.
+func completeEvents(body string) string {
+	end := strings.LastIndex(body, "\n\n")
+	if end < 0 {
+		return ""
+	}
+	return body[:end+len("\n\n")]
+}
+
+// resume resumes a broken stream at another router and checks that the caller gets a whole
+// stream of one version.
+func (c *callers) resume(client *http.Client, router int, path, first, events string) {
+	router %= len(c.fleet.nodes)
+	id := fmt.Sprintf("r%d", c.sent.Add(1))
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.fleet.addr(router, "callers")+path+first, strings.NewReader("body of "+first))
+	if err != nil {
+		return
+	}
+	request.GetBody = nil
+	request.Host = "h"
+	standin.SetRequestHeaders(request, id, 5*time.Second)
+	standin.SetResumption(request, first, strings.Count(events, "\n\n"))
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	switch whole := events + string(data); {
+	case response.StatusCode != http.StatusOK:
+		c.notResumed.Add(1)
+	case err != nil:
+		c.unknown.Add(1)
+	case !isExpectedBody(path, first, whole):
+		c.world.addViolation("stream %s was resumed as %s at router %d and isn't whole or of one version: %q", first, id, router, whole)
+	default:
+		c.resumed.Add(1)
+	}
+}
+
 // checkResponse checks a response against the guarantees and reports whether the
 // request was served. An unexpected status is a violation only if wasUp: the router was
 // up and responded within a second.
@@ -308,7 +356,7 @@
 		}
 	case status == http.StatusOK:
 		c.answered.Add(1)
-		if standin.Signature(response) != signature(id, "") || body != expectedBody(path, id) {
+		if standin.Signature(response) != signature(id, "") || !isExpectedBody(path, id, body) {
 			c.world.addViolation("%s%s got status 200 with a wrong or truncated body of %d bytes", path, id, len(body))
 		}
 		return true
@@ -322,16 +370,19 @@
 	return false
 }
 
-// expectedBody returns the complete response body of a request.
-func expectedBody(path, id string) string {
+// isExpectedBody reports whether a body is the complete response to a request. The first
+// attempt is the ID in the path.
+func isExpectedBody(path, firstAttempt, body string) bool {
 	if path == "/once/" || path == "/repeatable/" {
-		return "booked " + id
+		return body == "booked "+firstAttempt
 	}
-	var b strings.Builder
-	for event := 1; event <= eventCount; event++ {
-		_, _ = fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", event, id)
-	}
-	return b.String()
+	return slices.ContainsFunc(versions, func(version string) bool {
+		var expected strings.Builder
+		for event := 1; event <= eventCount; event++ {
+			_, _ = expected.WriteString(eventText(event, firstAttempt, version))
+		}
+		return body == expected.String()
+	})
 }
 
 // operator sends declared states to the routers and reads them back.
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"strconv"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	mu           sync.Mutex
 	leaving      bool
 	leavingSince time.Time
+	// version is the version of the software. Streams of several versions don't fit together.
+	version string
 }
 
 // world holds everything around the routers: the stand-in servers, the platform's
@@ -74,7 +77,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	b := &backend{id: id, service: service}
+	b := &backend{id: id, service: service, version: versions[len(w.backends)%len(versions)]}
 	b.httpServer = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(b, rw, r) }), ReadHeaderTimeout: time.Second}
 	w.cfg.tasks.Go(func() error { _ = b.httpServer.Serve(listener); return nil })
 	b.proxy, err = newProxy(w.cfg, "127.0.0.1:0", listener.Addr().String())
@@ -96,7 +99,7 @@
 	for i, b := range w.backends {
 		b.mu.Lock()
 		servers = append(servers, placement.Server{
-			ID: b.id, Service: b.service, Addr: b.proxy.addr, Zone: fmt.Sprintf("zone-%d", i%3), Slots: 48, Leaving: b.leaving,
+			ID: b.id, Service: b.service, Addr: b.proxy.addr, Zone: fmt.Sprintf("zone-%d", i%3), Slots: 48, Leaving: b.leaving, Version: b.version,
 		})
 		b.mu.Unlock()
 	}
@@ -131,6 +134,14 @@
 	return strconv.FormatUint(h.Sum64(), 16)
 }
 
+// versions are the versions of the engines. All serve side by side.
+var versions = []string{"v1", "v2"}
+
+// eventText returns an event of a stream, which names the caller's first attempt.
+func eventText(event int, firstAttempt, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", event, firstAttempt, version)
+}
+
 // eventCount is the number of events in each stream.
 const eventCount = 12
 
@@ -166,7 +177,7 @@
 	}
 	rw.Header().Set("Content-Type", "text/event-stream")
 	for event := lastEvent + 1; event <= eventCount; event++ {
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", event, id); err != nil {
+		if _, err := io.WriteString(rw, eventText(event, path.Base(r.URL.Path), b.version)); err != nil {
 			return
 		}
 		_ = http.NewResponseController(rw).Flush()
