--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -71,7 +71,7 @@
 		}
 		workers.Go(func() error { o.run(callersCtx, rand.New(rand.NewPCG(cfg.seed, 50))); return nil })
 		injectFaults(ctx, cfg, f, w)
-		time.Sleep(settleTime)
+		w.limitServers(rand.New(rand.NewPCG(cfg.seed, 2)))
 		if served := c.countServed(); served < 16 {
 			w.addViolation("only %d of 20 requests were served after the faults", served)
 		}
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -27,6 +27,7 @@
 	leavingSince time.Time
 	// version is the version of the software. Streams of several versions don't fit together.
 	version string
+	limit   statedLimit
 }
 
 // world holds everything around the routers: the stand-in servers, the platform's
@@ -169,6 +170,7 @@
 	w.mu.Lock()
 	w.runs[id]++
 	w.mu.Unlock()
+	b.receiveLimited(w, rw, time.Now())
 	standin.Sign(rw, id, signature(id, ""))
 	if b.service == "desk" {
 		time.Sleep(20 * time.Millisecond)
