--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -231,14 +231,14 @@
 	return e.forwardResponse(attemptCtx, response, now, latency)
 }
 
-// applyRateLimit records whether the server states a limit on its requests. Only a response
-// that certainly comes from the server shows that it has no limit.
+// applyRateLimit records whether the server states a limit on its requests. Only a signed
+// response shows that it has none.
 func (e *exchange) applyRateLimit(info ResponseInfo) {
 	switch {
 	case info.Misdirected:
 	case info.LimitInvalid:
 		metrics.Count(metrics.EventRateLimitInvalid)
-	case info.Limit.Limited || info.Signed || info.NotRun:
+	case info.Limit.Limited || info.Signed:
 		now := e.cfg.Clock()
 		if previous := e.cfg.Servers.SetRateLimit(now, e.choice, info.Limit); previous != info.Limit {
 			e.logRateLimit(now, previous, info.Limit)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -111,6 +111,12 @@
 mutant "router: events aren't bounded" $C/stream.go 's/case s\.scanner\.open > maxEventBytes:/case false:/' $C TestEventWithoutEnd
 mutant "router: single bytes count as progress" $C/stream.go 's/if complete > 0 \{/if true {/' $C TestStalledStream
 mutant "router: an unframed response of a crashed server counts as complete" $C/exchange.go 's/return !response\.Framed \&\& /return false \&\& !response.Framed \&\& /' $C TestUnframedResponse
+mutant "router: limits that servers state are ignored" $P/ratelimit.go 's/if !r\.limit\.Limited \{/if true {/' $P TestServerLimitHolds
+mutant "router: all routers send to a server with a low limit" $P/ratelimit.go 's/if !t\.isChosenRouter\(xxhash\.Sum64String\(r\.ID\), senders\) \{/if !t.isChosenRouter(xxhash.Sum64String(r.ID), senders) \&\& false {/' $P TestServerLimitHolds
+mutant "router: limits aren't told to peers" $P/ratelimit.go 's/if r\.limit\.own \&\& \(/if false \&\& (/' $P 'TestServerLimitReaches|TestLateResponse'
+mutant "router: a late response ends a limit" $P/ratelimit.go 's/ \&\& c\.SentAt\.Before\(r\.limit\.statedAt\)/ \&\& false/' $P TestLateResponse
+mutant "router: engines with a limit lower the load bound" $P/bound.go 's/if r\.limit\.Limited \{/if false {/' $P 'TestEngineTakesOver|TestPromptStays'
+mutant "router: a router that has just started counts those it knows" $P/table.go 's/max\(count, len\(names\)\)/len(names)/' $P TestRouterThatJust
 
 if [ "$survived" -gt 0 ]; then
 	echo "$survived mutants were not caught"
