--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -165,7 +165,8 @@
 	if len(e.tried) > 0 && e.isQuarantined(now) {
 		return attempt{}, bronzerill.Errorf(bronzerill.KindSuspect, "quarantined after %d attempts", len(e.tried))
 	}
-	choice, err := e.cfg.Servers.Pick(now, e.query(now))
+	query := e.query(now)
+	choice, err := e.cfg.Servers.Pick(now, query)
 	if err != nil {
 		e.refusal = choice
 		return attempt{}, err
@@ -174,7 +175,7 @@
 	e.tried = append(e.tried, choice.ID)
 	e.answerBeganAt = time.Time{}
 	latency := time.Duration(0)
-	a := e.send(ctx, now, &latency)
+	a := e.send(ctx, now, query, &latency)
 	if e.r.Context().Err() != nil {
 		a.outcome = placement.OutcomeNone
 	}
@@ -210,8 +211,8 @@
 
 // send sends the request to the picked server and forwards the response. It sets
 // latency to the time until the first event or the complete response.
-func (e *exchange) send(ctx context.Context, now time.Time, latency *time.Duration) attempt {
-	attemptCtx, timer := newSilenceTimer(ctx, e.firstEventTimeout(now), e.mayMove(now))
+func (e *exchange) send(ctx context.Context, now time.Time, query placement.Query, latency *time.Duration) attempt {
+	attemptCtx, timer := newSilenceTimer(ctx, e.firstEventTimeout(now), e.mayMove(query))
 	defer timer.stop()
 	response, err := e.cfg.Client.Do(attemptCtx, e.newCall(now))
 	if err != nil {
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -100,13 +100,12 @@
 	return e.route.MayRepeat() && runs < e.route.MaxAttempts
 }
 
-// mayMove returns a function that reports whether another server could take the request.
-// It may be called by any goroutine.
-func (e *exchange) mayMove(now time.Time) func() bool {
-	q := e.query(now)
-	q.Excluded = slices.Clone(q.Excluded)
+// mayMove returns a function that reports whether a server that wasn't tried yet could take
+// the request. It may be called by any goroutine.
+func (e *exchange) mayMove(query placement.Query) func() bool {
+	query.Excluded = slices.Clone(e.tried)
 	return func() bool {
-		current := q
+		current := query
 		current.Version = e.version.get()
 		return e.cfg.Servers.HasOther(e.cfg.Clock(), current)
 	}
