--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -118,7 +118,7 @@
 	}
 	if limiter.refused > 0 {
 		return Choice{RetryAfter: queueing.RetryAfter(limiter.minWait, q.Request, t.random.Float64()), Wait: limiter.minWait},
-			bronzerill.Errorf(bronzerill.KindRateLimited, "the limits of %d servers leave nothing for %v", limiter.refused, limiter.minWait)
+			bronzerill.Errorf(bronzerill.KindRateLimited, "%d servers have reached their limits, the next request may be sent in %v", limiter.refused, limiter.minWait)
 	}
 	return Choice{}, bronzerill.Errorf(bronzerill.KindCold, "all available servers of %s are cold", q.Service.Name)
 }
--- a/internal/router/placement/ratelimit.go
+++ b/internal/router/placement/ratelimit.go
@@ -26,8 +26,8 @@
 
 // Parameters of rate limits.
 const (
-	// limitBurstTime is the time whose requests all routers together may send at once
-	// after a pause, in addition to minLimitBurst requests.
+	// After a pause, all routers together may send at once what the limit allows in
+	// limitBurstTime, and minLimitBurst requests more.
 	limitBurstTime = time.Second
 	minLimitBurst  = 3.0
 	// minLimitedRate is the rate in requests per second at which all routers together
@@ -128,9 +128,10 @@
 type limiter struct {
 	routers int
 	// refused is the number of servers that may not get the request because of their
-	// limits. minWait is the shortest time until this router may send to one of them, and
-	// set only if mayWait is.
+	// limits.
 	refused int
+	// mayWait is set if this router may send to one of these later, after minWait at the
+	// earliest.
 	mayWait bool
 	minWait time.Duration
 }
@@ -146,12 +147,14 @@
 		l.refused++
 		return false
 	}
-	r.limit.bucket.refill(now, perSecond, burst)
-	if r.limit.bucket.tokens >= 1 {
+	bucket := &r.limit.bucket
+	bucket.refill(now, perSecond, burst)
+	if bucket.tokens >= 1 {
 		return true
 	}
-	wait := time.Duration((1 - r.limit.bucket.tokens) / perSecond * float64(time.Second))
-	if l.refused++; !l.mayWait || wait < l.minWait {
+	l.refused++
+	wait := time.Duration((1 - bucket.tokens) / perSecond * float64(time.Second))
+	if !l.mayWait || wait < l.minWait {
 		l.mayWait, l.minWait = true, wait
 	}
 	return false
