--- a/internal/router/placement/version.go
+++ b/internal/router/placement/version.go
@@ -37,8 +37,8 @@
 	return list
 }
 
-// noteVersions records which services have servers of more than one version in this list
-// and the previous one together. Servers of unknown versions don't count.
+// noteVersions records which services have servers of more than one version, in this list
+// or between the previous one and this. Servers of unknown versions don't count.
 func (t *Table) noteVersions(now time.Time, list []Server) {
 	versions := make(map[ServiceKey]VersionKey, len(t.versions))
 	for _, s := range list {
