--- a/internal/agent/engine/runner_test.go
+++ b/internal/agent/engine/runner_test.go
@@ -129,8 +129,7 @@
 	}
 }
 
-// TestStreamIsNotResumedAtAnotherEngineProcess replaces the engine process while a stream is
-// interrupted. The new process, maybe of another version, offers to go on with the stream.
+// The new process, maybe of another version, offers to go on with the stream.
 func TestStreamIsNotResumedAtAnotherEngineProcess(t *testing.T) {
 	const (
 		oldEvent = `data: {"id":"r1.1","choices":[{"index":0}]}` + "\n\n"
--- a/internal/router/caller/version_test.go
+++ b/internal/router/caller/version_test.go
@@ -205,8 +205,7 @@
 	}
 }
 
-// TestPausedStreamGoesOnWithoutAnotherServer covers a pause beyond the time after which a
-// stream moves to another server. None of its version is left.
+// The pause is longer than the time after which a stream moves to another server.
 func TestPausedStreamGoesOnWithoutAnotherServer(t *testing.T) {
 	pausing := func(w http.ResponseWriter, r *http.Request) {
 		sendEvents(w, r, 1, 1)
--- a/internal/router/peer/stream_test.go
+++ b/internal/router/peer/stream_test.go
@@ -54,8 +54,7 @@
 	require.Empty(t, table.Holders(start.Add(aliveTimeout), 42, 2))
 }
 
-// TestStreamsAreKnownAfterKills kills over half of the routers, among them those that the
-// callers are connected to. Those that come back have lost their records.
+// Over half of the routers are killed, among them those that the callers are connected to.
 func TestStreamsAreKnownAfterKills(t *testing.T) {
 	for _, routers := range []int{9, 33} {
 		for _, comeBack := range []bool{false, true} {
@@ -98,6 +97,7 @@
 				records[addr].Add(StreamRecord{stream, 1})
 			}
 		}
+		// Routers that come back have lost their records.
 		for i := range isKilled {
 			records[name(i)+":1"] = NewStreamTable()
 		}
--- a/internal/router/placement/ratelimit_test.go
+++ b/internal/router/placement/ratelimit_test.go
@@ -296,8 +296,7 @@
 	require.Len(t, told, 500, "each server is reported in turn")
 }
 
-// TestRouterThatJustStartedTakesASmallShare covers routers that know the number of routers
-// but not yet their names.
+// Routers that have just started know the number of routers but not yet their names.
 func TestRouterThatJustStartedTakesASmallShare(t *testing.T) {
 	const routers = 33
 	f := newLimitedFleet(t, routers, 1)
--- a/internal/run/router/resume_test.go
+++ b/internal/run/router/resume_test.go
@@ -93,8 +93,7 @@
 	return version
 }
 
-// TestStreamIsResumedAtItsVersionAfterItsRouterWasKilled kills the router that the callers
-// are connected to. They resume their streams at other routers, one of which has just started.
+// One of the routers at which the callers resume their streams has just started.
 func TestStreamIsResumedAtItsVersionAfterItsRouterWasKilled(t *testing.T) {
 	c := newCluster(t, 4, 3)
 	servers := map[string]*httptest.Server{"v1": streamServer(t, "v1"), "v2": streamServer(t, "v2")}
