--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -64,12 +64,11 @@
 	FetchFrom string
 }
 
-// Pick picks a server and counts the request as in flight there. It returns an
-// error of kind no-server if no server may take the request, of kind version-gone if
-// none of the version is left, of kind cold if all
-// candidates are cold, of kind rate-limited if the servers' own limits leave nothing,
-// and of kind overloaded if the wait would be too long at each. With the last two
-// kinds, RetryAfter of the choice is set.
+// Pick picks a server and counts the request as in flight there. It returns an error
+// of kind no-server if no server may take the request, of kind version-gone if none of
+// the version is left, of kind cold if all candidates are cold, of kind rate-limited if
+// the servers' own limits leave nothing, and of kind overloaded if the wait would be too
+// long at each. With the last two kinds, RetryAfter of the choice is set.
 func (t *Table) Pick(now time.Time, q Query) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
