--- a/internal/router/caller/dialect.go
+++ b/internal/router/caller/dialect.go
@@ -92,6 +92,12 @@
 	// states a limit that can't be parsed.
 	Limit        placement.RateLimit
 	LimitInvalid bool
+	// Backoff is how long the server wants no requests from this router, 0 if it doesn't
+	// say. If BackoffInvalid is set, the response states a pause that can't be parsed.
+	Backoff        time.Duration
+	BackoffInvalid bool
+	// Leaving is set if the server states that it is about to stop.
+	Leaving bool
 	// Closing is set if the server closes the connection.
 	Closing bool
 	// Signed is set if the response has the server's signature.
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -221,7 +221,7 @@
 	defer func() { _ = response.Body.Close() }() // the body has been read, or the connection is discarded
 	e.cfg.Servers.ConfirmUp(e.cfg.Clock(), e.choice, e.service.ColdStart)
 	info := e.cfg.Dialect.ParseResponse(response.Status, response.Header)
-	e.applyRateLimit(info)
+	e.applyStatements(info)
 	if info.NotRun || info.Misdirected {
 		return e.refusedAttempt(info)
 	}
@@ -232,11 +232,30 @@
 	return e.forwardResponse(attemptCtx, response, now, latency)
 }
 
+// applyStatements records what the server states about itself. A misdirected request was
+// answered by another server.
+func (e *exchange) applyStatements(info ResponseInfo) {
+	if info.Misdirected {
+		return
+	}
+	now := e.cfg.Clock()
+	e.applyRateLimit(info)
+	if info.BackoffInvalid {
+		metrics.Count(metrics.EventBackoffInvalid)
+	}
+	if info.Backoff > 0 {
+		sentInPause := e.cfg.Servers.SetBackoff(now, e.choice, info.Backoff)
+		e.logBackoff(now, info.Backoff, sentInPause)
+	}
+	if info.Leaving {
+		e.logLeaving(now)
+	}
+}
+
 // applyRateLimit records whether the server states a limit on its requests. Only a signed
 // response shows that it has none.
 func (e *exchange) applyRateLimit(info ResponseInfo) {
 	switch {
-	case info.Misdirected:
 	case info.LimitInvalid:
 		metrics.Count(metrics.EventRateLimitInvalid)
 	case info.Limit.Limited || info.Signed:
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -57,6 +57,12 @@
 		info.Limit.PerSecond, err = strconv.ParseFloat(limit, 64)
 		info.Limit.Limited, info.LimitInvalid = err == nil, err != nil
 	}
+	info.Leaving = h.Get("Leaving") != ""
+	if pause := h.Get("Pause"); pause != "" {
+		var err error
+		info.Backoff, err = time.ParseDuration(pause)
+		info.BackoffInvalid = err != nil
+	}
 	return info
 }
 
--- a/internal/router/placement/server.go
+++ b/internal/router/placement/server.go
@@ -32,6 +32,12 @@
 // process identifies the process of the server. An ID can be reused.
 func (s Server) process() string { return s.ID + "@" + strconv.FormatInt(s.Born, 10) }
 
+// isSameProcess reports whether both describe the same process of a server. A start time
+// that is unknown equals any other.
+func (s Server) isSameProcess(other Server) bool {
+	return s.ID == other.ID && (s.Born == other.Born || s.Born == 0 || other.Born == 0)
+}
+
 // ReportedLoad is the load that a server reported in a response.
 type ReportedLoad struct {
 	Running, Waiting, Slots int
@@ -124,6 +130,7 @@
 	confirmedUp bool
 	coldBucket  bucket
 	limit       statedLimit
+	backoff     statedBackoff
 }
 
 func (r *record) inFlight() int { return r.ownInFlight + r.peers.InFlight }
