--- /dev/null
+++ b/internal/router/caller/backoff_test.go
@@ -0,0 +1,101 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// requestPaths are the paths of all kinds of requests.
+var requestPaths = []string{"/once/x", "/repeatable/x", "/stream/x", "/resumable/x"}
+
+// pauseNotice is the time after its response in which a server that asked for a pause may still
+// get requests.
+const pauseNotice = 500 * time.Millisecond
+
+// pausingServer refuses requests and asks for a pause, until it is set to answer them.
+type pausingServer struct {
+	pause string
+	mu    sync.Mutex
+	// Requests between noticedAt and pausedUntil must not arrive. Both are zero before the
+	// first refusal.
+	noticedAt, pausedUntil time.Time
+	inPause, answered      int
+	answering              bool
+}
+
+func (s *pausingServer) serve(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.noticedAt.IsZero() && now.After(s.noticedAt) && now.Before(s.pausedUntil) {
+		s.inPause++
+	}
+	if s.answering {
+		s.answered++
+		sendEvents(w, r, 1, 2)
+		return
+	}
+	if pause, err := time.ParseDuration(s.pause); err == nil && now.Add(pause).After(s.pausedUntil) {
+		if !now.Before(s.pausedUntil) {
+			s.noticedAt = now.Add(pauseNotice)
+		}
+		s.pausedUntil = now.Add(pause)
+	}
+	w.Header().Set("Pause", s.pause)
+	refuseNotRun(w, r)
+}
+
+// receivedInPause returns the number of requests that arrived in a pause.
+func (s *pausingServer) receivedInPause() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inPause
+}
+
+// callAll sends requests of all kinds from some callers for some time, each without pauses.
+func (router *testRouter) callAll(callers int, d time.Duration) {
+	var group errgroup.Group
+	for i := range callers {
+		group.Go(func() error {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				response, err := http.DefaultClient.Do(router.request(context.Background(), requestPaths[i%len(requestPaths)]))
+				if err != nil {
+					return err
+				}
+				_, err = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+				if err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(router.t, group.Wait())
+}
+
+// A server may get two requests in a pause.
+func TestServersGetNoRequestsInThePausesTheyAskFor(t *testing.T) {
+	for name, pausing := range map[string][]bool{"the only server": {true}, "all servers": {true, true}, "two of three": {true, true, false}} {
+		t.Run(name, func(t *testing.T) {
+			var servers []*pausingServer
+			var backends []http.HandlerFunc
+			for _, pauses := range pausing {
+				server := &pausingServer{pause: "1200ms", answering: !pauses}
+				servers = append(servers, server)
+				backends = append(backends, server.serve)
+			}
+			newTestRouter(t, backends...).callAll(16, 2*time.Second)
+			for _, server := range servers {
+				require.LessOrEqual(t, server.receivedInPause(), 2)
+			}
+		})
+	}
+}
