--- a/internal/router/caller/backoff_test.go
+++ b/internal/router/caller/backoff_test.go
@@ -4,12 +4,17 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
+
+	"bronzerill"
+	"bronzerill/internal/router/placement"
+	"bronzerill/internal/router/server"
 )
 
 // requestPaths are the paths of all kinds of requests.
@@ -99,3 +104,63 @@
 		})
 	}
 }
+
+func TestRequestIsRefusedAtOnceWhileAllServersPause(t *testing.T) {
+	servers := []*pausingServer{{pause: "1h"}, {pause: "10s"}}
+	router := newTestRouter(t, servers[0].serve, servers[1].serve)
+	for i := range 5 {
+		for _, path := range requestPaths {
+			request := router.request(t.Context(), path)
+			request.Header.Set("Timeout", "900")
+			begin := time.Now()
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Less(t, time.Since(begin), 200*time.Millisecond)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Equal(t, "server-backoff", string(body), "call %d of %s", i, path)
+			retryAfter, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			require.Positive(t, retryAfter)
+			require.LessOrEqual(t, retryAfter, 0.3, "callers ignore pauses of over a third of their timeout")
+		}
+	}
+	require.Equal(t, 2, router.totalReceived())
+}
+
+func TestUnreadablePauseIsIgnored(t *testing.T) {
+	server := &pausingServer{pause: "soon"}
+	router := newTestRouter(t, server.serve)
+	for range 3 {
+		status, _, err := router.call("/once/x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, status)
+	}
+	require.Equal(t, 3, router.totalReceived())
+	require.NotContains(t, router.logged.String(), "server asked for a pause")
+}
+
+func TestServerAnswersAgainAfterItsPause(t *testing.T) {
+	server := &pausingServer{pause: "300ms"}
+	router := newTestRouter(t, server.serve)
+	_, _, err := router.call("/once/x")
+	require.NoError(t, err)
+	server.mu.Lock()
+	server.answering = true
+	server.mu.Unlock()
+	begin := time.Now()
+	require.Eventually(t, func() bool {
+		status, _, err := router.call("/once/x")
+		return err == nil && status == http.StatusOK
+	}, time.Second, 5*time.Millisecond)
+	require.Less(t, time.Since(begin), 400*time.Millisecond)
+	require.Zero(t, server.receivedInPause())
+}
+
+func TestWithheldRequestSaysNothingAboutItsServer(t *testing.T) {
+	cause := bronzerill.Errorf(bronzerill.KindServerBackoff, "later")
+	a := new(exchange).failedCall(t.Context(), &server.Error{Run: bronzerill.RunNot, Withheld: true, Cause: cause})
+	require.Equal(t, attempt{kind: bronzerill.KindServerBackoff, run: bronzerill.RunNot, unsent: true, outcome: placement.OutcomeNone, detail: cause.Error()}, a)
+}
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -20,10 +20,11 @@
 // Limits of one request.
 const (
 	// maxReached limits the number of servers that receive a request, including
-	// those that refuse it. Unreachable servers don't count.
+	// those that refuse it.
 	maxReached = 4
-	// maxUnreachable limits the number of failed connection attempts.
-	maxUnreachable = 8
+	// maxUnsent limits the number of servers that were picked but got nothing, most of them
+	// because they were unreachable.
+	maxUnsent = 8
 	// minRemaining is the minimum remaining time in which a server can respond.
 	minRemaining = 10 * time.Millisecond
 )
@@ -37,6 +38,8 @@
 	// kind is KindNone if the exchange is complete.
 	kind bronzerill.Kind
 	run  bronzerill.RunState
+	// unsent is set if nothing was sent to the server.
+	unsent bool
 	// outcome is what the attempt shows about the server's health.
 	outcome placement.Outcome
 	// failure is the server's error response, if it can be forwarded to the caller.
@@ -54,7 +57,7 @@
 
 // run sends the request to servers until one responds or no retry is allowed.
 func (e *exchange) run(ctx context.Context) {
-	unreachable := 0
+	unsent := 0
 	for {
 		a, err := e.tryServer(ctx)
 		if err != nil {
@@ -69,10 +72,10 @@
 			e.endCanceled()
 			return
 		}
-		if a.outcome == placement.OutcomeUnreachable {
-			unreachable++
+		if a.unsent {
+			unsent++
 		}
-		if kind := e.checkRetry(ctx, a, unreachable); kind != bronzerill.KindNone {
+		if kind := e.checkRetry(ctx, a, unsent); kind != bronzerill.KindNone {
 			e.endFailed(a, kind)
 			return
 		}
@@ -81,7 +84,7 @@
 }
 
 // checkRetry returns KindNone if a retry is allowed, or the reason why it isn't.
-func (e *exchange) checkRetry(ctx context.Context, a attempt, unreachable int) bronzerill.Kind {
+func (e *exchange) checkRetry(ctx context.Context, a attempt, unsent int) bronzerill.Kind {
 	switch {
 	case ctx.Err() != nil || e.deadline.Sub(e.cfg.Clock()) < minRemaining:
 		return bronzerill.KindTimeout
@@ -89,12 +92,10 @@
 		return a.kind
 	case e.runs >= max(1, e.route.MaxAttempts):
 		return a.kind
-	case unreachable >= maxUnreachable:
-		return bronzerill.KindUnreachable
-	case len(e.tried)-unreachable >= maxReached:
+	case unsent >= maxUnsent, len(e.tried)-unsent >= maxReached:
 		return a.kind
 	}
-	if a.outcome != placement.OutcomeUnreachable && !e.cfg.Servers.SpendRetry(e.service.Name) {
+	if !a.unsent && !e.cfg.Servers.SpendRetry(e.service.Name) {
 		return bronzerill.KindRetryBudget
 	}
 	return bronzerill.KindNone
@@ -114,8 +115,11 @@
 
 // refusalRetryAfter returns the retry delay for a request that no server may take.
 func (e *exchange) refusalRetryAfter(err error) time.Duration {
-	if bronzerill.KindOf(err) == bronzerill.KindSuspect {
+	switch bronzerill.KindOf(err) {
+	case bronzerill.KindSuspect:
 		return e.retryAfter
+	case bronzerill.KindServerBackoff:
+		return e.refusal.RetryAfter
 	}
 	return max(defaultRetryAfter, e.refusal.RetryAfter)
 }
@@ -240,16 +244,22 @@
 	}
 	now := e.cfg.Clock()
 	e.applyRateLimit(info)
+	e.applyBackoff(now, info)
+	if info.Leaving {
+		e.logLeaving(now)
+	}
+}
+
+// applyBackoff records whether the server asks for a pause.
+func (e *exchange) applyBackoff(now time.Time, info ResponseInfo) {
 	if info.BackoffInvalid {
 		metrics.Count(metrics.EventBackoffInvalid)
+		return
 	}
+	sentInPause := e.cfg.Servers.SetBackoff(now, e.choice, info.Backoff)
 	if info.Backoff > 0 {
-		sentInPause := e.cfg.Servers.SetBackoff(now, e.choice, info.Backoff)
 		e.logBackoff(now, info.Backoff, sentInPause)
 	}
-	if info.Leaving {
-		e.logLeaving(now)
-	}
 }
 
 // applyRateLimit records whether the server states a limit on its requests. Only a signed
@@ -272,6 +282,9 @@
 		e.cfg.Servers.SetLeaving(e.choice.ID)
 		return attempt{kind: bronzerill.KindNoServer, run: bronzerill.RunNot, outcome: placement.OutcomeNone}
 	}
+	if info.Backoff > 0 {
+		return attempt{kind: bronzerill.KindServerBackoff, run: bronzerill.RunNot, outcome: placement.OutcomeNone}
+	}
 	return attempt{kind: bronzerill.KindOverloaded, run: bronzerill.RunNot, outcome: placement.OutcomeRefused}
 }
 
@@ -279,8 +292,11 @@
 // may have run the request.
 func (e *exchange) failedCall(ctx context.Context, err error) attempt {
 	var callErr *server.Error
-	if errors.As(err, &callErr) && callErr.Run == bronzerill.RunNot {
-		return attempt{kind: bronzerill.KindUnreachable, run: bronzerill.RunNot, outcome: placement.OutcomeUnreachable, detail: err.Error()}
+	switch isServerError := errors.As(err, &callErr); {
+	case isServerError && callErr.Withheld:
+		return attempt{kind: bronzerill.KindOf(err), run: bronzerill.RunNot, unsent: true, outcome: placement.OutcomeNone, detail: err.Error()}
+	case isServerError && callErr.Run == bronzerill.RunNot:
+		return attempt{kind: bronzerill.KindUnreachable, run: bronzerill.RunNot, unsent: true, outcome: placement.OutcomeUnreachable, detail: err.Error()}
 	}
 	e.runs++
 	e.reportLost(ctx)
@@ -345,6 +361,7 @@
 		Header:    e.cfg.Dialect.ForwardHeader(e.r.Header, options),
 		Body:      e.body,
 		FreshConn: !e.route.MayRepeat(),
+		MaySend:   func() error { return e.cfg.Servers.MaySend(e.cfg.Clock(), e.choice) },
 		Matches: func(h http.Header) bool {
 			responseID := e.cfg.Dialect.ParseResponse(0, h).ID
 			return responseID == "" || responseID == id
--- a/internal/router/placement/bound.go
+++ b/internal/router/placement/bound.go
@@ -2,15 +2,16 @@
 
 import "time"
 
-// loadMean is the mean load of some servers. Servers with a rate limit can't take their
-// part of the load, so they count only if there are no others.
+// loadMean is the mean load of some servers. Servers with a rate limit or in a pause that
+// they asked for can't take their part of the load, so they count only if there are no
+// others.
 type loadMean struct {
 	sum, n               int
 	limitedSum, limitedN int
 }
 
-func (m *loadMean) add(r *record) {
-	if r.limit.Limited {
+func (m *loadMean) add(now time.Time, r *record) {
+	if r.limit.Limited || r.backoff.isActive(now) {
 		m.limitedSum += r.inFlight()
 		m.limitedN++
 		return
@@ -32,10 +33,10 @@
 }
 
 // meanLoad returns the mean load of the candidates.
-func meanLoad(candidates []*record) float64 {
+func meanLoad(now time.Time, candidates []*record) float64 {
 	var mean loadMean
 	for _, r := range candidates {
-		mean.add(r)
+		mean.add(now, r)
 	}
 	return mean.value()
 }
@@ -48,7 +49,7 @@
 	var mean loadMean
 	for _, r := range t.servers {
 		if r.Service == service && !now.Before(r.downUntil) {
-			mean.add(r)
+			mean.add(now, r)
 		}
 	}
 	return mean.value()
@@ -58,7 +59,7 @@
 // cold and at their rate limit. Callers retry once another engine has warmed up.
 type hardBound struct {
 	// all is relative to the mean load of all engines, and unlimited to that of the
-	// engines without a rate limit.
+	// engines that take their part.
 	all, unlimited float64
 }
 
@@ -74,7 +75,7 @@
 	var mean loadMean
 	for _, r := range t.servers {
 		if r.Service == service && (r.confirmedUp || now.Before(r.coldUntil)) && !now.Before(r.downUntil) {
-			mean.add(r)
+			mean.add(now, r)
 		}
 	}
 	return hardBound{all: t.loadMultiple()*mean.all() + boundSlack, unlimited: t.loadMultiple()*mean.value() + boundSlack}
--- a/internal/router/placement/outcome.go
+++ b/internal/router/placement/outcome.go
@@ -17,7 +17,8 @@
 	// because it was full.
 	OutcomeRefused
 	// OutcomeNone says nothing about the server. For example, the caller
-	// disconnected, or another server answered at the address.
+	// disconnected, another server answered at the address, or the server asked for a
+	// pause, which is kept instead.
 	OutcomeNone
 )
 
@@ -39,6 +40,7 @@
 		return nil
 	}
 	r.ownInFlight = max(0, r.ownInFlight-1)
+	r.backoff.endTrial(c.SentAt)
 	t.discardWait(now, r, &c)
 	switch outcome {
 	case OutcomeAnswered:
--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -66,9 +66,10 @@
 
 // Pick picks a server and counts the request as in flight there. It returns an error
 // of kind no-server if no server may take the request, of kind version-gone if none of
-// the version is left, of kind cold if all candidates are cold, of kind rate-limited if
-// the servers' own limits leave nothing, and of kind overloaded if the wait would be too
-// long at each. With the last two kinds, RetryAfter of the choice is set.
+// the version is left, of kind server-backoff if those that could take it have asked for
+// pauses, of kind cold if all candidates are cold, of kind rate-limited if the servers' own
+// limits leave nothing, and of kind overloaded if the wait would be too long at each. With
+// the kinds server-backoff, rate-limited and overloaded, RetryAfter of the choice is set.
 func (t *Table) Pick(now time.Time, q Query) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -78,9 +79,9 @@
 		return Choice{}, bronzerill.Errorf(bronzerill.KindVersionGone, "no server of %s has the version of the stream", q.Service.Name)
 	}
 	if len(candidates) == 0 {
-		return Choice{}, bronzerill.Errorf(bronzerill.KindNoServer, "no server of %s is available", q.Service.Name)
+		return t.refuseUnavailable(now, q)
 	}
-	mean, bound := meanLoad(candidates), 0.0
+	mean, bound := meanLoad(now, candidates), 0.0
 	if q.Service.Engine {
 		burst := t.burst(now, q.Affinity)
 		bound = t.loadBound(mean, t.serviceMean(now, q.Service.Name), burst)
@@ -95,6 +96,7 @@
 			continue
 		}
 		r.limit.countSent()
+		r.backoff.countSent(now)
 		choice := Choice{
 			Server: r.Server, Load: r.inFlight(), Mean: mean, Bound: bound, Rank: rank, ListAge: now.Sub(t.listAt), Cold: r.isCold(now),
 			Warm: !q.Service.Engine || q.Affinity == 0, SentAt: now, Queue: r.queueLength(), Wait: admission.queue.Wait(now, r.queueLength()),
@@ -122,6 +124,16 @@
 	return Choice{}, bronzerill.Errorf(bronzerill.KindCold, "all available servers of %s are cold", q.Service.Name)
 }
 
+// refuseUnavailable returns the error of a request without candidates.
+func (t *Table) refuseUnavailable(now time.Time, q Query) (Choice, error) {
+	wait, found := t.shortestBackoff(now, q)
+	if !found {
+		return Choice{}, bronzerill.Errorf(bronzerill.KindNoServer, "no server of %s is available", q.Service.Name)
+	}
+	return Choice{RetryAfter: queueing.RetryAfterBackoff(wait, q.Request, t.random.Float64()), Wait: wait},
+		bronzerill.Errorf(bronzerill.KindServerBackoff, "the available servers of %s asked for pauses, the next request may be sent in %v", q.Service.Name, wait)
+}
+
 func countLocations(candidates []*record, locations []ServerKey) int {
 	n := 0
 	for _, r := range candidates {
@@ -154,16 +166,21 @@
 	return best.Addr
 }
 
+// matches reports whether a server could take the request if it were up and idle.
+func (q Query) matches(r *record) bool {
+	if q.Version != 0 && r.VersionKey() != q.Version {
+		return false
+	}
+	return r.Service == q.Service.Name && !r.Leaving && !q.ZoneOut(r.Zone) && !slices.Contains(q.Excluded, r.ID)
+}
+
 // candidates returns the servers that may take a request, regardless of cold
 // starts.
 func (t *Table) candidates(now time.Time, q Query) []*record {
 	var candidates, down, ejected []*record
 	for _, r := range t.servers {
 		r.observations.advance(now)
-		if q.Version != 0 && r.VersionKey() != q.Version {
-			continue
-		}
-		if r.Service != q.Service.Name || r.Leaving || q.ZoneOut(r.Zone) || slices.Contains(q.Excluded, r.ID) {
+		if !q.matches(r) || r.backoff.wait(now) > 0 {
 			continue
 		}
 		if now.Before(r.downUntil) {
--- a/internal/router/placement/report.go
+++ b/internal/router/placement/report.go
@@ -101,14 +101,14 @@
 }
 
 // Engines returns the servers of the given services that can be queried for their
-// cached prompts. It omits servers that are leaving, in a zone that is out, or
-// known to be down.
+// cached prompts. It omits servers that are leaving, in a zone that is out, known to be
+// down, or in a pause that they asked for.
 func (t *Table) Engines(now time.Time, isEngine func(service string) bool, zoneOut func(zone string) bool) []Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var engines []Server
 	for _, r := range t.servers {
-		if isEngine(r.Service) && !r.Leaving && !zoneOut(r.Zone) && !now.Before(r.downUntil) {
+		if isEngine(r.Service) && !r.Leaving && !zoneOut(r.Zone) && !now.Before(r.downUntil) && r.backoff.wait(now) <= 0 {
 			engines = append(engines, r.Server)
 		}
 	}
--- a/internal/router/queueing/service.go
+++ b/internal/router/queueing/service.go
@@ -114,3 +114,16 @@
 	soonest := min(max(minRetryAfter, wait/2), longest/2)
 	return soonest + seconds(uniform*(longest-soonest).Seconds())
 }
+
+// RetryAfterBackoff returns the pause before a refused caller may retry, given the exact time
+// until a server may get requests again. Callers of which the time is too short for that get
+// a pause that they can keep, since another router may be allowed to send. The pause is
+// spread like that of RetryAfter.
+func RetryAfterBackoff(wait time.Duration, r Request, uniform float64) time.Duration {
+	longest := max(minRetryAfter, seconds(retryAfterShare*r.Remaining.Seconds()))
+	soonest := max(minRetryAfter, wait)
+	if soonest > longest {
+		soonest = longest / 2
+	}
+	return soonest + seconds(uniform*(longest-soonest).Seconds())
+}
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -28,6 +28,9 @@
 	// FreshConn requires a connection that is new or was idle only briefly. Calls
 	// that can't be repeated need it, because an idle connection may be dead.
 	FreshConn bool
+	// MaySend is called once the connection is open. If it returns an error, nothing is sent.
+	// Without it, the call is always sent.
+	MaySend func() error
 	// Matches reports whether a response with these headers belongs to this call.
 	Matches func(http.Header) bool
 }
@@ -40,7 +43,9 @@
 	// Refused is set if nothing listens at the address: the dial failed, but not
 	// with a timeout.
 	Refused bool
-	Cause   error
+	// Withheld is set if MaySend of the call returned the cause.
+	Withheld bool
+	Cause    error
 }
 
 // Error returns the cause.
@@ -99,6 +104,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if call.MaySend != nil {
+		if err := call.MaySend(); err != nil {
+			_ = conn.Close()
+			return nil, &Error{Run: bronzerill.RunNot, Withheld: true, Cause: err}
+		}
+	}
 	request := newRequest(call)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	write := startWrite(conn, request, len(call.Body))
--- a/internal/router/server/client_test.go
+++ b/internal/router/server/client_test.go
@@ -367,3 +367,25 @@
 	require.NoError(t, s.listener.Close())
 	require.True(t, c.IsRefused(testContext(t), s.addr()))
 }
+
+func TestWithheldCallSendsNothing(t *testing.T) {
+	s := startServer(t, func(conn *net.TCPConn, _ int) { send(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") })
+	client := newTestClient()
+	call := newCall(s.addr())
+	var withheld error
+	call.MaySend = func() error { return withheld }
+	for _, withheld = range []error{errors.New("too late"), nil, errors.New("too late")} {
+		response, err := client.Do(testContext(t), call)
+		if withheld == nil {
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			continue
+		}
+		var callErr *Error
+		require.ErrorAs(t, err, &callErr)
+		require.True(t, callErr.Withheld)
+		require.Equal(t, bronzerill.RunNot, callErr.Run)
+		require.ErrorIs(t, err, withheld)
+	}
+	require.EqualValues(t, 1, s.requests.Load())
+}
--- a/internal/run/router/directory.go
+++ b/internal/run/router/directory.go
@@ -11,10 +11,12 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/router/caller"
 	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/peer"
 	"bronzerill/internal/router/placement"
+	"bronzerill/platform"
 )
 
 // Timing and limits of loading the prefix directory after a start.
@@ -118,7 +120,7 @@
 	tasks.SetLimit(maxConcurrentEngines)
 	for _, engine := range c.router.servers.Engines(now, isEngine, table.IsZoneOut) {
 		tasks.Go(func() error {
-			parts, invalid, err := c.router.adapter.CachedParts(ctx, c.client, engine.Addr)
+			list, err := c.queryEngine(ctx, engine)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -126,10 +128,10 @@
 				c.router.log.Warn("cached prompts of engine not read", "server", engine.ID, "error", err.Error())
 				return nil
 			}
-			if invalid > 0 {
-				c.router.log.Warn("cached prompts of engine partly invalid", "server", engine.ID, "broken-entries", invalid)
+			if list.Invalid > 0 {
+				c.router.log.Warn("cached prompts of engine partly invalid", "server", engine.ID, "broken-entries", list.Invalid)
 			}
-			d.Kept = append(d.Kept, placement.NewCacheReport(placement.KeyOf(engine.ID), largestParts(parts)))
+			d.Kept = append(d.Kept, placement.NewCacheReport(placement.KeyOf(engine.ID), largestParts(list.Parts)))
 			return nil
 		})
 	}
@@ -138,6 +140,22 @@
 	c.apply(d, "engines", failed)
 }
 
+// queryEngine queries one engine, unless it has asked for a pause in the meantime, and records
+// the pause that its response asks for.
+func (c *directoryClient) queryEngine(ctx context.Context, engine placement.Server) (platform.CacheList, error) {
+	choice := placement.Choice{Server: engine, SentAt: time.Now()}
+	if err := c.router.servers.MaySend(choice.SentAt, choice); err != nil {
+		return platform.CacheList{}, err
+	}
+	list, err := c.router.adapter.CachedParts(ctx, c.client, engine.Addr)
+	if pause := list.Response.Backoff; pause > 0 {
+		c.router.servers.SetBackoff(time.Now(), choice, pause)
+		metrics.Count(metrics.EventBackoff)
+		c.router.log.Info("server asked for a pause", "server", engine.ID, "service", engine.Service, "request", "cached prompts", "pause-ms", pause.Milliseconds())
+	}
+	return list, err
+}
+
 // maxPartsPerEngine is the maximum number of prompt parts that are recorded per engine.
 // Most cached parts belong to a single request. Large parts are shared by requests, so
 // their locations are worth recording.
--- a/kind.go
+++ b/kind.go
@@ -56,6 +56,7 @@
 	KindRateLimited
 	KindVersionGone
 	KindUnknownStream
+	KindServerBackoff
 	kindCount
 )
 
@@ -153,6 +154,7 @@
 	KindRateLimited:    {"rate-limited", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
 	KindVersionGone:    {"version-gone", http.StatusServiceUnavailable, RunNot, RetryNever},
 	KindUnknownStream:  {"unknown-stream", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
+	KindServerBackoff:  {"server-backoff", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
 }
 
 // String returns the kebab-case name of the kind.
