--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -314,12 +314,13 @@
 	}
 }
 
-// logLeaving logs that the picked server states that it is about to stop.
+// logLeaving logs that the picked server states that it is about to stop, before the list
+// showed that.
 func (e *exchange) logLeaving(now time.Time) {
 	metrics.Count(metrics.EventServerLeaving)
 	if e.failedLog.Allow(now) {
 		e.cfg.Log.Info("server states that it leaves", "server", e.choice.ID, "service", e.choice.Service, "request", e.request.ID,
-			"list-age-ms", e.choice.ListAge.Milliseconds(), "listed-as-leaving", e.choice.Leaving)
+			"list-age-ms", e.choice.ListAge.Milliseconds())
 	}
 }
 
--- a/internal/router/caller/leaving_test.go
+++ b/internal/router/caller/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,3 +40,32 @@
 	require.Zero(t, leaving.late.Load())
 	require.Greater(t, router.received[1].Load(), int32(500))
 }
+
+// The leaving server breaks a stream after its first events, or refuses the request.
+func TestRequestGoesOnElsewhereWhenItsServerStatesItLeaves(t *testing.T) {
+	statesIt := func(end http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Leaving", "1")
+			end(w, r)
+		}
+	}
+	other := func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.Atoi(r.Header.Get("Resume")) // empty for a request from the start
+		sendEvents(w, r, after+1, 8)
+	}
+	for name, leaving := range map[string]http.HandlerFunc{
+		"refused": statesIt(refuseNotRun), "failed": statesIt(respond(http.StatusInternalServerError, "")),
+		"broken": statesIt(resumableBackend(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })),
+	} {
+		t.Run(name, func(t *testing.T) {
+			router := newTestRouter(t, other, leaving)
+			for range 30 {
+				status, body, err := router.call("/resumable/x")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status)
+				require.Equal(t, eventText(1, 8), body)
+			}
+			require.EqualValues(t, 1, router.received[1].Load())
+		})
+	}
+}
--- a/internal/router/placement/backoff.go
+++ b/internal/router/placement/backoff.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"time"
-
-	"bronzerill"
-)
+import "time"
 
 // Parameters of the pauses that servers ask for.
 const (
@@ -78,18 +74,6 @@
 	return sentInPause
 }
 
-// MaySend returns an error if a server that was picked must not get the request any more,
-// because it has asked for a pause since then.
-func (t *Table) MaySend(now time.Time, c Choice) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r, ok := t.servers[c.ID]
-	if ok && r.isSameProcess(c.Server) && r.backoff.isActive(now) {
-		return bronzerill.Errorf(bronzerill.KindServerBackoff, "%s asked for a pause of another %v", c.ID, r.backoff.wait(now))
-	}
-	return nil
-}
-
 // shortestBackoff returns the shortest time until a server that could take a request may get
 // one again, and false if none has asked for a pause. Servers that were tried count too: they
 // may take the request when the caller retries.
--- /dev/null
+++ b/internal/router/placement/leaving.go
@@ -0,0 +1,48 @@
+package placement
+
+import (
+	"time"
+
+	"bronzerill"
+)
+
+// SetLeaving marks a server as leaving, after another server answered at its
+// address.
+func (t *Table) SetLeaving(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.servers[id]; ok {
+		r.Leaving = true
+	}
+}
+
+// SetStatedLeaving records a response in which the server states that it is about to stop.
+// It reports whether that is new. The list may show it later, or not at all to a router that
+// is cut off.
+func (t *Table) SetStatedLeaving(c Choice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.servers[c.ID]
+	if !ok || r.Leaving || !r.isSameProcess(c.Server) {
+		return false
+	}
+	r.Leaving = true
+	return true
+}
+
+// MaySend returns an error if a server that was picked must not get the request any more,
+// because it is leaving or has asked for a pause since then.
+func (t *Table) MaySend(now time.Time, c Choice) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.servers[c.ID]
+	switch {
+	case !ok || !r.isSameProcess(c.Server):
+		return nil
+	case r.Leaving:
+		return bronzerill.Errorf(bronzerill.KindLeaving, "%s is leaving", c.ID)
+	case r.backoff.isActive(now):
+		return bronzerill.Errorf(bronzerill.KindServerBackoff, "%s asked for a pause of another %v", c.ID, r.backoff.wait(now))
+	}
+	return nil
+}
--- a/internal/router/placement/outcome.go
+++ b/internal/router/placement/outcome.go
@@ -155,16 +155,6 @@
 	r.coldUntil = latest(r.coldUntil, now.Add(coldStart))
 }
 
-// SetLeaving marks a server as leaving, after another server answered at its
-// address.
-func (t *Table) SetLeaving(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r, ok := t.servers[id]; ok {
-		r.Leaving = true
-	}
-}
-
 // SetCold applies the remaining cold-start time that a server reported.
 func (t *Table) SetCold(now time.Time, id string, remaining time.Duration) {
 	t.mu.Lock()
--- a/internal/run/router/directory.go
+++ b/internal/run/router/directory.go
@@ -140,8 +140,8 @@
 	c.apply(d, "engines", failed)
 }
 
-// queryEngine queries one engine, unless it has asked for a pause in the meantime, and records
-// the pause that its response asks for.
+// queryEngine queries one engine, unless it is leaving or in a pause by now, and records what
+// its response states about that.
 func (c *directoryClient) queryEngine(ctx context.Context, engine placement.Server) (platform.CacheList, error) {
 	choice := placement.Choice{Server: engine, SentAt: time.Now()}
 	if err := c.router.servers.MaySend(choice.SentAt, choice); err != nil {
@@ -153,6 +153,10 @@
 		metrics.Count(metrics.EventBackoff)
 		c.router.log.Info("server asked for a pause", "server", engine.ID, "service", engine.Service, "request", "cached prompts", "pause-ms", pause.Milliseconds())
 	}
+	if list.Response.Leaving && c.router.servers.SetStatedLeaving(choice) {
+		metrics.Count(metrics.EventServerLeaving)
+		c.router.log.Info("server states that it leaves", "server", engine.ID, "service", engine.Service, "request", "cached prompts")
+	}
 	return list, err
 }
 
