--- a/internal/router/placement/bound.go
+++ b/internal/router/placement/bound.go
@@ -48,7 +48,7 @@
 func (t *Table) serviceMean(now time.Time, service string) float64 {
 	var mean loadMean
 	for _, r := range t.servers {
-		if r.Service == service && !now.Before(r.downUntil) {
+		if r.Service == service && !r.isGone() && !now.Before(r.downUntil) {
 			mean.add(now, r)
 		}
 	}
@@ -74,7 +74,7 @@
 func (t *Table) newHardBound(now time.Time, service string) hardBound {
 	var mean loadMean
 	for _, r := range t.servers {
-		if r.Service == service && (r.confirmedUp || now.Before(r.coldUntil)) && !now.Before(r.downUntil) {
+		if r.Service == service && !r.isGone() && (r.confirmedUp || now.Before(r.coldUntil)) && !now.Before(r.downUntil) {
 			mean.add(now, r)
 		}
 	}
--- a/internal/router/placement/leaving.go
+++ b/internal/router/placement/leaving.go
@@ -39,7 +39,7 @@
 	switch {
 	case !ok || !r.isSameProcess(c.Server):
 		return nil
-	case r.Leaving:
+	case !r.acceptsRequests():
 		return bronzerill.Errorf(bronzerill.KindLeaving, "%s is leaving", c.ID)
 	case r.backoff.isActive(now):
 		return bronzerill.Errorf(bronzerill.KindServerBackoff, "%s asked for a pause of another %v", c.ID, r.backoff.wait(now))
--- a/internal/router/placement/leaving_test.go
+++ b/internal/router/placement/leaving_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 }
 
 func TestServerThatStatesItLeavesIsNotPicked(t *testing.T) {
-	later := func(d time.Duration) time.Time { return start.Add(d) }
+	later := start.Add
 	tests := map[string]func(*Table){
 		"without a new list":    func(*Table) {},
 		"the list lags":         func(table *Table) { table.SetList(later(1), later(1), list("desk", 1)) },
@@ -76,3 +77,60 @@
 		})
 	}
 }
+
+// A list may lack a server once, for example because its entry can't be decoded.
+func TestGapInTheListDoesNotChangeWhatAServerStated(t *testing.T) {
+	listAt := func(table *Table, at time.Duration, servers []Server) {
+		table.SetList(start.Add(at), start.Add(at), servers)
+	}
+	tests := []struct {
+		name  string
+		state func(*Table, Choice)
+		kind  bronzerill.Kind
+	}{
+		{"nothing", func(*Table, Choice) {}, bronzerill.KindNone},
+		{"that it leaves", func(table *Table, c Choice) { table.SetStatedLeaving(c) }, bronzerill.KindNoServer},
+		{"a pause", func(table *Table, c Choice) { table.SetBackoff(start, c, time.Minute) }, bronzerill.KindServerBackoff},
+		{"a limit", func(table *Table, c Choice) { table.SetRateLimit(start, c, RateLimit{Limited: true}) }, bronzerill.KindRateLimited},
+	}
+	for _, test := range tests {
+		for _, inFlight := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, in flight: %v", test.name, inFlight), func(t *testing.T) {
+				table := newTable("a", list("desk", 1))
+				choice := pickOnly(t, table, start)
+				test.state(table, choice)
+				if !inFlight {
+					table.Finish(start, choice, "r", OutcomeNone, 0)
+				}
+				listAt(table, time.Second, nil)
+				_, err := table.Pick(start.Add(time.Second), query(deskService, 0))
+				require.Equal(t, bronzerill.KindNoServer, bronzerill.KindOf(err))
+				require.Equal(t, bronzerill.KindLeaving, bronzerill.KindOf(table.MaySend(start.Add(time.Second), choice)))
+				listAt(table, 1500*time.Millisecond, list("desk", 1))
+				_, err = table.Pick(start.Add(1600*time.Millisecond), query(deskService, 0))
+				require.Equal(t, test.kind, bronzerill.KindOf(err))
+			})
+		}
+	}
+}
+
+func TestServerThatComesBackToTheListLaterIsANewOne(t *testing.T) {
+	cold := list("desk", 1)
+	cold[0].Cold = time.Second
+	tests := map[string]struct {
+		gap  time.Duration
+		next []Server
+	}{"after a long gap": {2 * time.Second, list("desk", 1)}, "cold": {500 * time.Millisecond, cold}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := newTable("a", list("desk", 1))
+			table.SetStatedLeaving(pickOnly(t, table, start))
+			for at := time.Duration(1); at <= 1+test.gap; at += 500 * time.Millisecond {
+				table.SetList(start.Add(at), start.Add(at), nil)
+			}
+			at := start.Add(test.gap + time.Second)
+			table.SetList(at, at, test.next)
+			pickOnly(t, table, at)
+		})
+	}
+}
--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -153,7 +153,7 @@
 	}
 	best := (*record)(nil)
 	for _, r := range t.servers {
-		if r.Service != chosen.Service || !r.confirmedUp || now.Before(r.downUntil) || !slices.Contains(locations, r.key) {
+		if r.Service != chosen.Service || r.isGone() || !r.confirmedUp || now.Before(r.downUntil) || !slices.Contains(locations, r.key) {
 			continue
 		}
 		if best == nil || r.Zone == chosen.Zone && best.Zone != chosen.Zone || r.Zone == best.Zone && r.inFlight() < best.inFlight() {
@@ -171,7 +171,7 @@
 	if q.Version != 0 && r.VersionKey() != q.Version {
 		return false
 	}
-	return r.Service == q.Service.Name && !r.Leaving && !q.ZoneOut(r.Zone) && !slices.Contains(q.Excluded, r.ID)
+	return r.Service == q.Service.Name && r.acceptsRequests() && !q.ZoneOut(r.Zone) && !slices.Contains(q.Excluded, r.ID)
 }
 
 // candidates returns the servers that may take a request, regardless of cold
--- a/internal/router/placement/report.go
+++ b/internal/router/placement/report.go
@@ -108,7 +108,7 @@
 	defer t.mu.Unlock()
 	var engines []Server
 	for _, r := range t.servers {
-		if isEngine(r.Service) && !r.Leaving && !zoneOut(r.Zone) && !now.Before(r.downUntil) && r.backoff.wait(now) <= 0 {
+		if isEngine(r.Service) && r.acceptsRequests() && !zoneOut(r.Zone) && !now.Before(r.downUntil) && r.backoff.wait(now) <= 0 {
 			engines = append(engines, r.Server)
 		}
 	}
--- a/internal/router/placement/server.go
+++ b/internal/router/placement/server.go
@@ -113,6 +113,9 @@
 type record struct {
 	Server
 	key ServerKey
+	// unlistedAt is when the server was first missing in the list, zero while it is listed.
+	// It gets no requests then.
+	unlistedAt time.Time
 	// ownInFlight is the number of requests of this router in flight. ownWaiting is
 	// the number of these without a response or first event.
 	ownInFlight, ownWaiting int
@@ -133,6 +136,12 @@
 	backoff     statedBackoff
 }
 
+// acceptsRequests reports whether the server is listed and not leaving.
+func (r *record) acceptsRequests() bool { return !r.Leaving && r.unlistedAt.IsZero() }
+
+// isGone reports whether the server is no longer listed and has no requests.
+func (r *record) isGone() bool { return !r.unlistedAt.IsZero() && r.ownInFlight == 0 }
+
 func (r *record) inFlight() int { return r.ownInFlight + r.peers.InFlight }
 
 // queueLength returns the number of requests waiting for a response. It includes an
--- a/internal/router/placement/table.go
+++ b/internal/router/placement/table.go
@@ -146,7 +146,7 @@
 	for _, s := range list {
 		listed[s.ID] = true
 		r, known := t.servers[s.ID]
-		if known && s.Born > r.Born && r.Born > 0 || known && s.Addr != r.Addr {
+		if known && r.isReplacedBy(now, s) {
 			// A new process under the same ID has none of the previous state.
 			known = false
 		}
@@ -159,11 +159,14 @@
 			t.servers[s.ID] = r
 			changes = append(changes, StateChange{s, "listed"})
 		}
-		if s.Leaving != r.Leaving && known {
+		if known && !r.unlistedAt.IsZero() {
+			changes = append(changes, StateChange{s, "listed"})
+		}
+		if known && s.Leaving && !r.Leaving {
 			changes = append(changes, StateChange{s, "leaving"})
 		}
 		leaving := known && r.Leaving
-		r.Server = s
+		r.Server, r.unlistedAt = s, time.Time{}
 		// A leaving server doesn't come back under its ID.
 		r.Leaving = s.Leaving || leaving
 		if s.Cold > 0 {
@@ -171,16 +174,31 @@
 		}
 	}
 	for id, r := range t.servers {
-		if !listed[id] && r.ownInFlight == 0 {
-			delete(t.servers, id)
+		switch {
+		case listed[id]:
+		case r.unlistedAt.IsZero():
+			r.unlistedAt = now
 			changes = append(changes, StateChange{r.Server, "unlisted"})
-		} else if !listed[id] {
-			r.Leaving = true
+		case now.Sub(r.unlistedAt) >= unlistedMemory && r.ownInFlight == 0:
+			delete(t.servers, id)
 		}
 	}
 	return changes
 }
 
+// unlistedMemory is how long a server that is missing in the list counts as the same one if it
+// is listed again. Its entry may have been unreadable.
+const unlistedMemory = 2 * time.Second
+
+// isReplacedBy reports whether an entry of the list describes another process than the known
+// one under the same ID.
+func (r *record) isReplacedBy(now time.Time, s Server) bool {
+	if s.Born > r.Born && r.Born > 0 || s.Addr != r.Addr {
+		return true
+	}
+	return !r.unlistedAt.IsZero() && (s.Cold > 0 || now.Sub(r.unlistedAt) >= unlistedMemory)
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/router/placement/version.go
+++ b/internal/router/placement/version.go
@@ -101,7 +101,7 @@
 // hasVersion reports whether a server of the query's version is listed that isn't leaving.
 func (t *Table) hasVersion(q Query) bool {
 	for _, r := range t.servers {
-		if r.Service == q.Service.Name && !r.Leaving && r.VersionKey() == q.Version {
+		if r.Service == q.Service.Name && r.acceptsRequests() && r.VersionKey() == q.Version {
 			return true
 		}
 	}
