--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -245,7 +245,7 @@
 	now := e.cfg.Clock()
 	e.applyRateLimit(info)
 	e.applyBackoff(now, info)
-	if info.Leaving && e.cfg.Servers.SetStatedLeaving(e.choice) {
+	if info.Leaving && e.cfg.Servers.SetStatedLeaving(now, e.choice) {
 		e.logLeaving(now)
 	}
 }
--- a/internal/router/placement/backoff.go
+++ b/internal/router/placement/backoff.go
@@ -80,7 +80,7 @@
 func (t *Table) shortestBackoff(now time.Time, q Query) (shortest time.Duration, found bool) {
 	q.Excluded = nil
 	for _, r := range t.servers {
-		if wait := r.backoff.wait(now); wait > 0 && q.matches(r) && (!found || wait < shortest) {
+		if wait := r.backoff.wait(now); wait > 0 && q.matches(r) && r.acceptsRequests() && (!found || wait < shortest) {
 			shortest, found = wait, true
 		}
 	}
--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -75,7 +75,7 @@
 	defer t.mu.Unlock()
 	t.sumPeers(now)
 	candidates := t.candidates(now, q)
-	if len(candidates) == 0 && q.Version != 0 && !t.hasVersion(q) {
+	if len(candidates) == 0 && q.Version != 0 && !t.hasVersion(now, q) {
 		return Choice{}, bronzerill.Errorf(bronzerill.KindVersionGone, "no server of %s has the version of the stream", q.Service.Name)
 	}
 	if len(candidates) == 0 {
@@ -166,33 +166,39 @@
 	return best.Addr
 }
 
-// matches reports whether a server could take the request if it were up and idle.
+// matches reports whether a server could take the request if it were up, idle and not leaving.
 func (q Query) matches(r *record) bool {
 	if q.Version != 0 && r.VersionKey() != q.Version {
 		return false
 	}
-	return r.Service == q.Service.Name && r.acceptsRequests() && !q.ZoneOut(r.Zone) && !slices.Contains(q.Excluded, r.ID)
+	return r.Service == q.Service.Name && !q.ZoneOut(r.Zone) && !slices.Contains(q.Excluded, r.ID)
 }
 
 // candidates returns the servers that may take a request, regardless of cold
 // starts.
 func (t *Table) candidates(now time.Time, q Query) []*record {
-	var candidates, down, ejected []*record
+	var candidates, down, ejected, leaving []*record
 	for _, r := range t.servers {
 		r.observations.advance(now)
 		if !q.matches(r) || r.backoff.wait(now) > 0 {
 			continue
 		}
-		if now.Before(r.downUntil) {
+		switch {
+		case r.acceptsRequests() && now.Before(r.downUntil):
 			down = append(down, r)
-			continue
+		case r.acceptsRequests():
+			candidates = append(candidates, r)
+		case r.acceptsLastRequests(now) && !now.Before(r.downUntil):
+			leaving = append(leaving, r)
 		}
-		candidates = append(candidates, r)
 	}
 	candidates, ejected = splitEjected(candidates)
 	if len(candidates) == 0 {
 		candidates = ejected
 	}
+	if len(candidates) == 0 {
+		candidates = leaving
+	}
 	if len(candidates) == 0 && q.MayRepeat {
 		candidates = down
 	}
--- a/internal/router/placement/server.go
+++ b/internal/router/placement/server.go
@@ -116,6 +116,9 @@
 	// unlistedAt is when the server was first missing in the list, zero while it is listed.
 	// It gets no requests then.
 	unlistedAt time.Time
+	// leavingAt is when this router learned that the server is leaving. It is zero if the
+	// server isn't, or was already when it was first listed.
+	leavingAt time.Time
 	// ownInFlight is the number of requests of this router in flight. ownWaiting is
 	// the number of these without a response or first event.
 	ownInFlight, ownWaiting int
@@ -136,9 +139,6 @@
 	backoff     statedBackoff
 }
 
-// acceptsRequests reports whether the server is listed and not leaving.
-func (r *record) acceptsRequests() bool { return !r.Leaving && r.unlistedAt.IsZero() }
-
 // isGone reports whether the server is no longer listed and has no requests.
 func (r *record) isGone() bool { return !r.unlistedAt.IsZero() && r.ownInFlight == 0 }
 
--- a/internal/router/placement/table.go
+++ b/internal/router/placement/table.go
@@ -163,6 +163,7 @@
 			changes = append(changes, StateChange{s, "listed"})
 		}
 		if known && s.Leaving && !r.Leaving {
+			r.leavingAt = readAt
 			changes = append(changes, StateChange{s, "leaving"})
 		}
 		leaving := known && r.Leaving
--- a/internal/router/placement/version.go
+++ b/internal/router/placement/version.go
@@ -98,10 +98,11 @@
 	}
 }
 
-// hasVersion reports whether a server of the query's version is listed that isn't leaving.
-func (t *Table) hasVersion(q Query) bool {
+// hasVersion reports whether a server of the query's version is listed that takes requests, or
+// the last ones.
+func (t *Table) hasVersion(now time.Time, q Query) bool {
 	for _, r := range t.servers {
-		if r.Service == q.Service.Name && r.acceptsRequests() && r.VersionKey() == q.Version {
+		if r.Service == q.Service.Name && r.VersionKey() == q.Version && (r.acceptsRequests() || r.acceptsLastRequests(now)) {
 			return true
 		}
 	}
--- a/internal/run/router/directory.go
+++ b/internal/run/router/directory.go
@@ -153,7 +153,7 @@
 		metrics.Count(metrics.EventBackoff)
 		c.router.log.Info("server asked for a pause", "server", engine.ID, "service", engine.Service, "request", "cached prompts", "pause-ms", pause.Milliseconds())
 	}
-	if list.Response.Leaving && c.router.servers.SetStatedLeaving(choice) {
+	if list.Response.Leaving && c.router.servers.SetStatedLeaving(time.Now(), choice) {
 		metrics.Count(metrics.EventServerLeaving)
 		c.router.log.Info("server states that it leaves", "server", engine.ID, "service", engine.Service, "request", "cached prompts")
 	}
