--- a/internal/router/peer/message.go
+++ b/internal/router/peer/message.go
@@ -72,6 +72,9 @@
 	// RateLimits are the limits that servers stated to the sender. Only full digests have
 	// them.
 	RateLimits map[placement.ServerKey]placement.RateLimitReport `msgpack:"rate-limits,omitempty"`
+	// Backoffs is how much longer servers that asked the sender for a pause want no requests
+	// from it. Only full digests have them.
+	Backoffs map[placement.ServerKey]time.Duration `msgpack:"backoffs,omitempty"`
 	// Routers is the number of routers that the sender knows, with itself.
 	Routers int `msgpack:"routers,omitempty"`
 	// MixedServices are the services with servers of several versions, and the time since
--- a/internal/router/placement/backoff.go
+++ b/internal/router/placement/backoff.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Parameters of the pauses that servers ask for.
 const (
@@ -10,6 +14,12 @@
 	// backoffTrialTimeout is how long the first request after a pause may stay without a
 	// response before another one is sent.
 	backoffTrialTimeout = 500 * time.Millisecond
+	// peerBackoffMargin is how long a server is avoided after the pauses of peers. Only
+	// backoffTrialSenders routers may send to it then, and tell the others if it pauses again.
+	peerBackoffMargin   = 400 * time.Millisecond
+	backoffTrialSenders = 3
+	// maxGossipedBackoffs limits the pauses in one digest.
+	maxGossipedBackoffs = 64
 )
 
 // statedBackoff is the pause that a server has asked this router for. After the pause, the
@@ -86,3 +96,78 @@
 	}
 	return shortest, found
 }
+
+// peerPauses holds the ends of the two pauses of different peers that end last. A single peer
+// may be refused for reasons of its own.
+type peerPauses struct{ first, second time.Time }
+
+func (p peerPauses) with(until time.Time) peerPauses {
+	if until.After(p.first) {
+		return peerPauses{first: until, second: p.first}
+	}
+	return peerPauses{first: p.first, second: latest(p.second, until)}
+}
+
+// avoids reports whether this router prefers other servers than r, because peers are in pauses
+// that it asked for, or were until a moment ago.
+func (t *Table) avoids(now time.Time, r *record) bool {
+	if !now.Before(r.avoidUntil) {
+		return false
+	}
+	return now.Before(r.avoidUntil.Add(-peerBackoffMargin)) || !t.isChosenRouter(xxhash.Sum64String(r.ID), backoffTrialSenders)
+}
+
+// withAvoidedLast moves the servers that this router avoids to the end of the order.
+func (t *Table) withAvoidedLast(now time.Time, ordered []*record) []*record {
+	var avoided []*record
+	preferred := make([]*record, 0, len(ordered))
+	for _, r := range ordered {
+		if t.avoids(now, r) {
+			avoided = append(avoided, r)
+		} else {
+			preferred = append(preferred, r)
+		}
+	}
+	return append(preferred, avoided...)
+}
+
+// BackoffsToGossip returns how much longer the servers that asked this router for a pause want
+// no requests from it. Without being told, each router would be refused before it knows. If
+// there are too many, each call returns others.
+func (t *Table) BackoffsToGossip(now time.Time) map[ServerKey]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	backoffs := make(map[ServerKey]time.Duration)
+	for _, r := range t.servers {
+		if len(backoffs) == maxGossipedBackoffs {
+			break
+		}
+		if r.backoff.isActive(now) {
+			backoffs[r.key] = r.backoff.wait(now)
+		}
+	}
+	return backoffs
+}
+
+// SetPeerBackoffs stores the pauses that servers asked a peer for. They don't bind this router,
+// but it prefers other servers.
+func (t *Table) SetPeerBackoffs(now time.Time, peer string, backoffs map[ServerKey]time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	report := t.peers[peer]
+	if len(backoffs) == 0 && len(report.backoffs) == 0 {
+		return
+	}
+	pausedUntil := make(map[ServerKey]time.Time, len(backoffs))
+	for key, until := range report.backoffs {
+		if now.Before(until) {
+			pausedUntil[key] = until
+		}
+	}
+	for key, remaining := range backoffs {
+		pausedUntil[key] = now.Add(min(remaining, maxStatedBackoff) + peerBackoffMargin)
+	}
+	report.receivedAt, report.backoffs = now, pausedUntil
+	t.peers[peer] = report
+	t.peersChanged = true
+}
--- a/internal/router/placement/backoff_test.go
+++ b/internal/router/placement/backoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -28,6 +29,9 @@
 	received, inPause map[string]int
 	// refused counts the requests that no server could take.
 	refused int
+	// gossips is set if the routers send each other digests, the last ones at gossipedAt.
+	gossips    bool
+	gossipedAt time.Time
 }
 
 func newBackoffRun(t *testing.T, routers int, servers []Server) *backoffRun {
@@ -51,10 +55,27 @@
 func (run *backoffRun) send(d time.Duration, perSecond float64, s Service) {
 	for end := run.now.Add(d); run.now.Before(end); {
 		run.now = run.now.Add(time.Duration(run.random.ExpFloat64() / perSecond * float64(time.Second)))
+		run.gossip()
 		run.sendOne(run.tables[run.random.IntN(len(run.tables))], s)
 	}
 }
 
+// gossip delivers the digests of the rounds that are due, some of which are lost.
+func (run *backoffRun) gossip() {
+	if !run.gossips || run.now.Sub(run.gossipedAt) < gossipPeriod {
+		return
+	}
+	run.gossipedAt = run.now
+	for _, from := range run.tables {
+		backoffs := from.BackoffsToGossip(run.now)
+		for _, to := range run.tables {
+			if from != to && run.random.Float64() > digestLoss {
+				to.SetPeerBackoffs(run.now, from.cfg.Name, backoffs)
+			}
+		}
+	}
+}
+
 func (run *backoffRun) sendOne(table *Table, s Service) {
 	q := query(s, 1+run.random.Uint64N(40))
 	q.Request.Remaining = remaining
@@ -262,3 +283,64 @@
 		require.NoError(t, err, "request %d of 20 at two engines with 48 slots", i)
 	}
 }
+
+// Without digests, each of the 30 routers would be refused after each pause.
+func TestRoutersAvoidServersThatAskedTheirPeersForPauses(t *testing.T) {
+	for _, service := range []Service{deskService, engineService} {
+		t.Run(service.Name, func(t *testing.T) {
+			const routers = 30
+			run := newBackoffRun(t, routers, list(service.Name, 6))
+			run.gossips = true
+			paused := []string{service.Name + "-0", service.Name + "-3"}
+			run.send(2*time.Second, 300, service)
+			before := maps.Clone(run.received)
+			clear(run.received)
+			for _, server := range paused {
+				run.refusing[server] = 3 * time.Second
+			}
+			run.send(12*time.Second, 300, service)
+			require.Zero(t, run.refused)
+			for _, server := range paused {
+				require.Zero(t, run.inPause[server])
+				require.LessOrEqual(t, run.received[server], routers+4*backoffTrialSenders, "each router may learn of the first pause by itself, three of the others")
+			}
+			clear(run.refusing)
+			run.send(3*time.Second+peerBackoffMargin+gossipPeriod, 300, service)
+			clear(run.received)
+			run.send(2*time.Second, 300, service)
+			for _, server := range paused {
+				require.Greater(t, run.received[server], before[server]/2, "the server is used again")
+			}
+		})
+	}
+}
+
+func TestPausesOfPeersAreNoReasonToRefuse(t *testing.T) {
+	table := newTable("a", list("desk", 2))
+	pauses := map[ServerKey]time.Duration{KeyOf("desk-0"): time.Second}
+	picked := func() map[string]int {
+		counts := make(map[string]int)
+		for i := range 20 {
+			choice, err := table.Pick(start.Add(time.Duration(i)), query(deskService, 0))
+			require.NoError(t, err)
+			table.Finish(start.Add(time.Duration(i)), choice, "r", OutcomeNone, 0)
+			counts[choice.ID]++
+		}
+		return counts
+	}
+	table.SetPeerBackoffs(start, "b", pauses)
+	require.Len(t, picked(), 2, "one peer may be refused for reasons of its own")
+	table.SetPeerBackoffs(start, "c", pauses)
+	require.Equal(t, map[string]int{"desk-1": 20}, picked())
+	table.SetBackoff(start, Choice{Server: Server{ID: "desk-1"}, SentAt: start}, time.Second)
+	require.Equal(t, map[string]int{"desk-0": 20}, picked(), "no other server is left")
+}
+
+func TestGossipOfManyPausesIsBounded(t *testing.T) {
+	table := newTable("a", list("desk", 500))
+	for _, server := range list("desk", 500) {
+		table.SetBackoff(start, Choice{Server: server, SentAt: start}, time.Minute)
+	}
+	require.Len(t, table.BackoffsToGossip(start), maxGossipedBackoffs)
+	require.Empty(t, table.BackoffsToGossip(start.Add(time.Minute)))
+}
--- a/internal/router/placement/bound.go
+++ b/internal/router/placement/bound.go
@@ -11,7 +11,7 @@
 }
 
 func (m *loadMean) add(now time.Time, r *record) {
-	if r.limit.Limited || r.backoff.isActive(now) {
+	if !r.takesItsPart(now) {
 		m.limitedSum += r.inFlight()
 		m.limitedN++
 		return
--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -89,6 +89,7 @@
 	} else {
 		t.orderByWait(candidates)
 	}
+	candidates = t.withAvoidedLast(now, candidates)
 	admission := t.newAdmission(now, q)
 	limiter := limiter{routers: t.routerCount}
 	for rank, r := range candidates {
--- a/internal/router/placement/server.go
+++ b/internal/router/placement/server.go
@@ -137,6 +137,9 @@
 	coldBucket  bucket
 	limit       statedLimit
 	backoff     statedBackoff
+	// avoidUntil is the end of the time in which other servers are preferred, because this one
+	// asked several peers for pauses.
+	avoidUntil time.Time
 }
 
 // isGone reports whether the server is no longer listed and has no requests.
@@ -182,6 +185,12 @@
 	return failed / weight, weight
 }
 
+// takesItsPart reports whether the server takes its part of the load, which it can't with a rate
+// limit or in a pause.
+func (r *record) takesItsPart(now time.Time) bool {
+	return !r.limit.Limited && !r.backoff.isActive(now) && !now.Before(r.avoidUntil)
+}
+
 func (r *record) isCold(now time.Time) bool {
 	return now.Before(r.coldUntil) || !r.confirmedUp
 }
--- a/internal/router/placement/table.go
+++ b/internal/router/placement/table.go
@@ -74,6 +74,8 @@
 	receivedAt   time.Time
 	loads        map[ServerKey]RouterLoad
 	observations map[ServerKey]Observation
+	// backoffs holds the ends of the pauses that servers asked the peer for.
+	backoffs map[ServerKey]time.Time
 }
 
 // peerTimeout is the age at which a peer's report expires, because the peer has
@@ -264,6 +266,7 @@
 	t.peersChanged = false
 	t.sumsExpireAt = now.Add(peerTimeout)
 	sums := make(map[ServerKey]Observation, len(t.servers))
+	pauses := make(map[ServerKey]peerPauses)
 	for name, report := range t.peers {
 		if now.Sub(report.receivedAt) > peerTimeout {
 			delete(t.peers, name)
@@ -285,9 +288,13 @@
 			s.RelativeLatency += o.RelativeLatency
 			sums[key] = s
 		}
+		for key, until := range report.backoffs {
+			pauses[key] = pauses[key].with(until)
+		}
 	}
 	for _, r := range t.servers {
 		r.peers = sums[r.key]
+		r.avoidUntil = pauses[r.key].second
 	}
 }
 
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -243,6 +243,7 @@
 		d.Locations = peer.CompactLocations(r.servers.LocationsToGossip(now))
 		d.Suspects = r.servers.SuspectsToGossip(now)
 		d.Extension.RateLimits = r.servers.RateLimitsToGossip(now)
+		d.Extension.Backoffs = r.servers.BackoffsToGossip(now)
 		d.Extension.MixedServices = r.servers.MixedServices(now)
 	}
 }
@@ -259,6 +260,7 @@
 		r.servers.AddPeerLocations(now, d.CacheLocations())
 		r.servers.SetPeerSuspects(now, d.From.Name, d.Suspects)
 		r.servers.SetPeerRateLimits(now, d.Extension.RateLimits)
+		r.servers.SetPeerBackoffs(now, d.From.Name, d.Extension.Backoffs)
 		r.servers.SetPeerMixedServices(now, d.Extension.MixedServices)
 	}
 	if d.Revision > r.holder.Revision() {
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -86,6 +86,7 @@
 	"neighbour.Digest+":  peer.Extension{},
 	"neighbour.Digest+2": peer.Extension{},
 	"neighbour.Digest+3": peer.Extension{},
+	"neighbour.Digest+4": peer.Extension{},
 	"exchange.Open":      exchange.Open{},
 	"exchange.Frame":     exchange.Frame{},
 	"bronzerill.Delta":   bronzerill.Delta{},
@@ -109,9 +110,13 @@
 	},
 	"neighbour.Digest+": func(message any) {
 		e := message.(*peer.Extension)
-		e.Routers, e.MixedServices = 0, nil
+		e.Routers, e.MixedServices, e.Backoffs = 0, nil, nil
 	},
-	"neighbour.Digest+2": func(message any) { message.(*peer.Extension).MixedServices = nil },
+	"neighbour.Digest+2": func(message any) {
+		e := message.(*peer.Extension)
+		e.MixedServices, e.Backoffs = nil, nil
+	},
+	"neighbour.Digest+3": func(message any) { message.(*peer.Extension).Backoffs = nil },
 	"neighbour.Digest.2": func(message any) { message.(*peer.Digest).Extension = peer.Extension{} },
 }
 
