--- a/internal/router/placement/backoff.go
+++ b/internal/router/placement/backoff.go
@@ -4,13 +4,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bronzerill/internal/wire/httpheader"
 )
 
 // Parameters of the pauses that servers ask for.
 const (
-	// maxStatedBackoff limits the pause that a server can ask for. A server with a broken
-	// configuration would get no requests for as long as its process lives.
-	maxStatedBackoff = time.Hour
 	// backoffTrialTimeout is how long the first request after a pause may stay without a
 	// response before another one is sent.
 	backoffTrialTimeout = 500 * time.Millisecond
@@ -77,7 +76,7 @@
 		if b.until.IsZero() {
 			b.statedAt = now
 		}
-		b.until, b.trialAt = latest(b.until, now.Add(min(pause, maxStatedBackoff))), time.Time{}
+		b.until, b.trialAt = latest(b.until, now.Add(min(pause, httpheader.MaxRetryAfter))), time.Time{}
 	case !c.SentAt.Before(b.until):
 		*b = statedBackoff{}
 	}
@@ -165,7 +164,7 @@
 		}
 	}
 	for key, remaining := range backoffs {
-		pausedUntil[key] = now.Add(min(remaining, maxStatedBackoff) + peerBackoffMargin)
+		pausedUntil[key] = now.Add(min(remaining, httpheader.MaxRetryAfter) + peerBackoffMargin)
 	}
 	report.receivedAt, report.backoffs = now, pausedUntil
 	t.peers[peer] = report
--- a/internal/router/placement/backoff_test.go
+++ b/internal/router/placement/backoff_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bronzerill"
+	"bronzerill/internal/wire/httpheader"
 )
 
 // backoffRun is a simulation of routers whose servers refuse all requests for some time and
@@ -198,7 +199,7 @@
 		{"longer", 4 * time.Second, 5 * time.Second},
 		{"shorter", time.Second, 3 * time.Second},
 		{"none, in a late response", 0, 3 * time.Second},
-		{"longest that can be stated", math.MaxInt64, time.Second + maxStatedBackoff},
+		{"longest that can be stated", math.MaxInt64, time.Second + httpheader.MaxRetryAfter},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
