--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -14,6 +14,8 @@
 	"github.com/pkg/errors"
 
 	"bronzerill"
+	"bronzerill/internal/operator/metrics"
+	"bronzerill/internal/wire/httpheader"
 )
 
 // Headers and paths of the engine's published protocol.
@@ -51,16 +53,38 @@
 	Value   string `json:"value"`
 }
 
-// Client is the client of one engine.
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Base is the base URL of the engine.
+	Base  string
+	Clock func() time.Time
+}
+
+// Client is the client of one engine. It keeps to the pauses that the engine asks for, except
+// with load reports, which show crashes, and with cancellations, which free the engine.
 type Client struct {
-	base string
-	http *http.Client
+	cfg     ClientConfig
+	http    *http.Client
+	backoff httpheader.Backoff
 }
 
-// NewClient returns a client of the engine at the base URL.
-func NewClient(base string) *Client {
+// NewClient returns a client of one engine.
+func NewClient(cfg ClientConfig) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
+}
+
+// do sends a request unless the engine has asked for a pause. The error is of KindOverloaded
+// then, and nothing was sent.
+func (c *Client) do(request *http.Request) (*http.Response, error) {
+	if wait := c.backoff.Remaining(c.cfg.Clock()); wait > 0 {
+		return nil, bronzerill.Errorf(bronzerill.KindOverloaded, "the engine asked for a pause of another %v", wait)
+	}
+	response, err := c.http.Do(request)
+	if err == nil && c.backoff.Record(c.cfg.Clock(), response) {
+		metrics.Count(metrics.EventBackoff)
+	}
+	return response, err
 }
 
 // Close closes idle connections.
@@ -69,7 +93,7 @@
 // post sends a request. The transport resends it only if no byte of it was
 // written, since net/http doesn't replay a POST without an idempotency key.
 func (c *Client) post(ctx context.Context, path, requestID, contentType string, body []byte) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.cfg.Base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "engine address")
 	}
@@ -77,28 +101,28 @@
 	if contentType != "" {
 		request.Header.Set("Content-Type", contentType)
 	}
-	return c.http.Do(request)
+	return c.do(request)
 }
 
 // resume requests the rest of an interrupted stream, from the offset on.
 func (c *Client) resume(ctx context.Context, requestID string, offset int64) (*http.Response, error) {
-	url := c.base + pathStreams + requestID + "?offset=" + strconv.FormatInt(offset, 10)
-	return c.get(ctx, url)
-}
-
-func (c *Client) get(ctx context.Context, url string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := c.newGet(ctx, pathStreams+requestID+"?offset="+strconv.FormatInt(offset, 10))
 	if err != nil {
-		return nil, errors.Wrap(err, "engine address")
+		return nil, err
 	}
-	return c.http.Do(request)
+	return c.do(request)
+}
+
+func (c *Client) newGet(ctx context.Context, path string) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.cfg.Base+path, nil)
+	return request, errors.Wrap(err, "engine address")
 }
 
 // cancel stops a stream that no caller waits for any more.
 func (c *Client) cancel(requestID string) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.base+pathStreams+requestID, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.cfg.Base+pathStreams+requestID, nil)
 	if err != nil {
 		return
 	}
@@ -111,7 +135,11 @@
 func (c *Client) Load(ctx context.Context) (Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	response, err := c.get(ctx, c.base+pathLoad)
+	request, err := c.newGet(ctx, pathLoad)
+	if err != nil {
+		return Load{}, err
+	}
+	response, err := c.http.Do(request)
 	if err != nil {
 		return Load{}, errors.Wrap(err, "get load")
 	}
@@ -147,7 +175,11 @@
 
 // ExportCache fetches the KV cache of one chat.
 func (c *Client) ExportCache(ctx context.Context, chat string) ([]byte, error) {
-	response, err := c.get(ctx, c.base+pathCache+chat)
+	request, err := c.newGet(ctx, pathCache+chat)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.do(request)
 	if err != nil {
 		return nil, errors.Wrap(err, "export cache")
 	}
--- a/internal/agent/engine/client_test.go
+++ b/internal/agent/engine/client_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -15,7 +16,7 @@
 		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.Copy(w, strings.NewReader(strings.Repeat("x", size))) // the client may close early
 		}))
-		client := NewClient(backend.URL)
+		client := NewClient(ClientConfig{Base: backend.URL, Clock: time.Now})
 		data, err := client.ExportCache(t.Context(), "chat")
 		client.Close()
 		backend.Close()
--- a/internal/agent/engine/runner.go
+++ b/internal/agent/engine/runner.go
@@ -116,8 +116,12 @@
 }
 
 // transportError returns KindUnreachable if no connection was made, so that the
-// request was never sent, and otherwise KindServerFailed.
+// request was never sent, KindOverloaded if it was withheld in a pause, and otherwise
+// KindServerFailed.
 func transportError(err error) error {
+	if bronzerill.KindOf(err) == bronzerill.KindOverloaded {
+		return err
+	}
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
 		return bronzerill.Errorf(bronzerill.KindUnreachable, "engine: %v", err)
--- a/internal/agent/engine/runner_test.go
+++ b/internal/agent/engine/runner_test.go
@@ -47,7 +47,7 @@
 	h := &harness{engine: e}
 	changes := bronzerill.Changes{Pools: []bronzerill.Pool{{Name: "bronze-guides", Kind: bronzerill.PoolEngine, EchoesRequestID: true}}}
 	view := &control.View{Config: (&bronzerill.Config{}).WithChanges(changes)}
-	client := NewClient("http://" + e.Addr())
+	client := NewClient(ClientConfig{Base: "http://" + e.Addr(), Clock: time.Now})
 	t.Cleanup(client.Close)
 	h.runner = NewRunner(RunnerConfig{
 		Client:  client,
@@ -157,7 +157,7 @@
 	}))
 	defer engine.Close()
 	h := newHarness(t, warmEngine())
-	h.runner.cfg.Client = NewClient(engine.URL)
+	h.runner.cfg.Client = NewClient(ClientConfig{Base: engine.URL, Clock: time.Now})
 	defer h.runner.cfg.Client.Close()
 	h.runner.Poll(t.Context())
 	s := &sink{}
@@ -169,7 +169,7 @@
 func TestUnreachableEngineReportsNotRun(t *testing.T) {
 	server := httptest.NewServer(nil)
 	server.Close()
-	r := NewRunner(RunnerConfig{Client: NewClient(server.URL), Clock: time.Now, View: func() *control.View { return &control.View{Config: &bronzerill.Config{}} }})
+	r := NewRunner(RunnerConfig{Client: NewClient(ClientConfig{Base: server.URL, Clock: time.Now}), Clock: time.Now, View: func() *control.View { return &control.View{Config: &bronzerill.Config{}} }})
 	err := r.Run(t.Context(), chatOpen("r1", nil), &sink{})
 	assert.Equal(t, bronzerill.KindUnreachable, bronzerill.KindOf(err))
 }
@@ -274,7 +274,7 @@
 	}))
 	defer server.Close()
 	view := &control.View{Config: &bronzerill.Config{}}
-	r := NewRunner(RunnerConfig{Client: NewClient(server.URL), Clock: time.Now, View: func() *control.View { return view }})
+	r := NewRunner(RunnerConfig{Client: NewClient(ClientConfig{Base: server.URL, Clock: time.Now}), Clock: time.Now, View: func() *control.View { return view }})
 	require.NoError(t, r.Run(t.Context(), chatOpen("r1", nil), &sink{}))
 	assert.True(t, freed.Load())
 }
--- a/internal/agent/service/client.go
+++ b/internal/agent/service/client.go
@@ -16,7 +16,9 @@
 
 	"bronzerill"
 	"bronzerill/internal/control/state"
+	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/httpheader"
 )
 
 // Limits of one call.
@@ -32,18 +34,30 @@
 // net/http resends a request with an idempotency key if a reused connection
 // fails.
 type Client struct {
-	base string
+	cfg     ClientConfig
+	backoff httpheader.Backoff
 }
 
-// NewClient returns a client of the service at the base URL.
-func NewClient(base string) *Client { return &Client{base: base} }
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Base is the base URL of the service.
+	Base  string
+	Clock func() time.Time
+}
+
+// NewClient returns a client of one service.
+func NewClient(cfg ClientConfig) *Client { return &Client{cfg: cfg} }
 
 // Do sends one call and returns the complete reply. If the kind of the error
-// means not-run, no byte of the request was sent.
+// means not-run, no byte of the request was sent. It is KindOverloaded in a pause that the
+// service asked for.
 func (c *Client) Do(ctx context.Context, o exchange.Open) (state.Reply, error) {
+	if wait := c.backoff.Remaining(c.cfg.Clock()); wait > 0 {
+		return state.Reply{}, bronzerill.Errorf(bronzerill.KindOverloaded, "the service asked for a pause of another %v", wait)
+	}
 	// The transport can't rewind this body, so it never sends it twice.
 	body := io.NopCloser(bytes.NewReader(o.Body))
-	request, err := http.NewRequestWithContext(ctx, o.Method, c.base+o.Path, body)
+	request, err := http.NewRequestWithContext(ctx, o.Method, c.cfg.Base+o.Path, body)
 	if err != nil {
 		return state.Reply{}, bronzerill.Errorf(bronzerill.KindBadRequest, "service address: %v", err)
 	}
@@ -62,6 +76,9 @@
 		return state.Reply{}, callError(err, connected.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
+	if c.backoff.Record(c.cfg.Clock(), response) {
+		metrics.Count(metrics.EventBackoff)
+	}
 	return readReply(response)
 }
 
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -110,7 +110,7 @@
 		return r.startEngine(ctx)
 	}
 	return service.NewRunner(service.RunnerConfig{
-		Client:     service.NewClient(r.settings.Backend),
+		Client:     service.NewClient(service.ClientConfig{Base: r.settings.Backend, Clock: r.clock}),
 		Ledger:     r.cfg.Client,
 		Agent:      r.settings.Server,
 		Pool:       r.settings.Pool,
@@ -127,7 +127,7 @@
 // startEngine creates the runner of a model engine. It starts to poll the engine,
 // to send its orders and to watch whether the server is leaving.
 func (r *Role) startEngine(ctx context.Context) entry.Runner {
-	client := engine.NewClient(r.settings.Backend)
+	client := engine.NewClient(engine.ClientConfig{Base: r.settings.Backend, Clock: r.clock})
 	r.engineClient = client
 	r.engine = engine.NewRunner(engine.RunnerConfig{
 		Client:  client,
