--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -81,7 +81,7 @@
 		return nil, bronzerill.Errorf(bronzerill.KindOverloaded, "the engine asked for a pause of another %v", wait)
 	}
 	response, err := c.http.Do(request)
-	if err == nil && c.backoff.Record(c.cfg.Clock(), response) {
+	if err == nil && c.backoff.Record(c.cfg.Clock(), response.StatusCode, response.Header) {
 		metrics.Count(metrics.EventBackoff)
 	}
 	return response, err
--- a/internal/agent/service/client.go
+++ b/internal/agent/service/client.go
@@ -76,7 +76,7 @@
 		return state.Reply{}, callError(err, connected.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
-	if c.backoff.Record(c.cfg.Clock(), response) {
+	if c.backoff.Record(c.cfg.Clock(), response.StatusCode, response.Header) {
 		metrics.Count(metrics.EventBackoff)
 	}
 	return readReply(response)
--- a/internal/wire/httpheader/retryafter.go
+++ b/internal/wire/httpheader/retryafter.go
@@ -50,12 +50,12 @@
 
 // Record records the pause that a response asks for, if the server refused the request with
 // it. It reports whether there is one.
-func (b *Backoff) Record(now time.Time, response *http.Response) bool {
-	if response.StatusCode != http.StatusServiceUnavailable {
+func (b *Backoff) Record(now time.Time, status int, h http.Header) bool {
+	if status != http.StatusServiceUnavailable {
 		return false
 	}
 	// An unreadable pause is none.
-	pause, err := RetryAfter(response.Header)
+	pause, err := RetryAfter(h)
 	if err != nil || pause <= 0 {
 		return false
 	}
--- a/internal/wire/httpheader/retryafter_test.go
+++ b/internal/wire/httpheader/retryafter_test.go
@@ -33,17 +33,17 @@
 
 func TestBackoffKeepsTheLongestPause(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	response := func(status int, value string) *http.Response {
-		return &http.Response{StatusCode: status, Header: http.Header{"Retry-After": {value}}}
-	}
 	var b Backoff
+	record := func(now time.Time, status int, value string) bool {
+		return b.Record(now, status, http.Header{"Retry-After": {value}})
+	}
 	require.LessOrEqual(t, b.Remaining(now), time.Duration(0))
-	require.False(t, b.Record(now, response(200, "5")))
-	require.False(t, b.Record(now, response(503, "soon")))
+	require.False(t, record(now, 200, "5"))
+	require.False(t, record(now, 503, "soon"))
 	require.LessOrEqual(t, b.Remaining(now), time.Duration(0))
-	require.True(t, b.Record(now, response(503, "2")))
-	require.True(t, b.Record(now, response(503, "0.5")))
+	require.True(t, record(now, 503, "2"))
+	require.True(t, record(now, 503, "0.5"))
 	require.Equal(t, 1500*time.Millisecond, b.Remaining(now.Add(500*time.Millisecond)))
-	require.True(t, b.Record(now.Add(time.Second), response(503, "2")))
+	require.True(t, record(now.Add(time.Second), 503, "2"))
 	require.Equal(t, 2*time.Second, b.Remaining(now.Add(time.Second)))
 }
