--- a/internal/agent/admission/gate.go
+++ b/internal/agent/admission/gate.go
@@ -59,7 +59,9 @@
 	// trial is the fingerprint of the running trial, or empty.
 	trial    string
 	draining bool
-	down     bool
+	// leaving is set while the server states that it is about to stop.
+	leaving bool
+	down    bool
 	// reportedSlots is the number of slots that the server reported, or 0 if it
 	// reported none. The report lags, so it may lower the limit but never raise
 	// it.
@@ -99,7 +101,7 @@
 func (g *Gate) checkAvailable(now time.Time, v *control.View) bronzerill.Kind {
 	zone, _ := v.Config.Zone(g.zone)
 	switch {
-	case g.draining || v.Leaving:
+	case g.draining || g.leaving || v.Leaving:
 		return bronzerill.KindLeaving
 	case !v.HasLease(now):
 		return bronzerill.KindLeaseLapsed
@@ -210,6 +212,9 @@
 // Drain makes Admit refuse every request from now on.
 func (g *Gate) Drain() { g.draining = true }
 
+// SetLeaving sets whether the server states that it is about to stop.
+func (g *Gate) SetLeaving(leaving bool) { g.leaving = leaving }
+
 // SetReportedSlots sets the number of slots that the server reported, or 0 for
 // none.
 func (g *Gate) SetReportedSlots(slots int) { g.reportedSlots = slots }
@@ -235,7 +240,7 @@
 func (g *Gate) State(v *control.View) control.ServerState {
 	pool, _ := v.Config.Pool(g.pool)
 	switch {
-	case g.draining:
+	case g.draining || g.leaving:
 		return control.ServerLeaving
 	case g.down:
 		return control.ServerDown
--- a/internal/agent/admission/gate_test.go
+++ b/internal/agent/admission/gate_test.go
@@ -82,6 +82,7 @@
 		{"lease lapsed", now.Add(control.LeaseTerm), view(10), 0, nil, request("a"), bronzerill.KindLeaseLapsed},
 		{"zone out", now, withChanges(view(10), out), 0, nil, request("a"), bronzerill.KindZoneOut},
 		{"draining", now, view(10), 0, (*Gate).Drain, request("a"), bronzerill.KindLeaving},
+		{"states that it leaves", now, view(10), 0, func(g *Gate) { g.SetLeaving(true) }, request("a"), bronzerill.KindLeaving},
 		{"on the leaving list", now, leaving, 0, nil, request("a"), bronzerill.KindLeaving},
 		{"server down", now, view(10), 0, func(g *Gate) { g.SetDown(true) }, request("a"), bronzerill.KindUnreachable},
 		{"held suspect", now, withChanges(view(10), suspect(bronzerill.SuspectHeld)), 0, nil, request("a"), bronzerill.KindSuspect},
--- a/internal/agent/engine/backoff_test.go
+++ b/internal/agent/engine/backoff_test.go
@@ -39,7 +39,7 @@
 	view := &control.View{Config: &bronzerill.Config{}}
 	runner := NewRunner(RunnerConfig{
 		Client: client, Clock: time.Now, View: func() *control.View { return view }, Log: hclog.NewNullLogger(),
-		OnCold: func() {}, OnSlots: func(int) {}, OnDown: func(bool) {},
+		OnCold: func() {}, OnSlots: func(int) {}, OnLeaving: func(bool) {}, OnDown: func(bool) {},
 	})
 	require.Error(t, client.SendOrder(t.Context(), Order{Fencing: 1}))
 	require.EqualValues(t, 1, received.Load())
--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -42,6 +42,8 @@
 	Generation string `json:"generation"`
 	Running    int    `json:"running"`
 	Slots      int    `json:"slots"`
+	// Leaving is set while the engine is about to stop.
+	Leaving bool `json:"leaving"`
 }
 
 // Order tells the engine to load a model, adapter or version, or to change its
--- a/internal/agent/engine/runner.go
+++ b/internal/agent/engine/runner.go
@@ -45,6 +45,8 @@
 	OnCold func()
 	// OnSlots is called with the number of slots of each load report.
 	OnSlots func(slots int)
+	// OnLeaving is called with each load report. It is true if the engine is about to stop.
+	OnLeaving func(leaving bool)
 	// OnDown is called with true when the engine is down, and with false after
 	// each load report.
 	OnDown func(down bool)
@@ -242,6 +244,7 @@
 	} else {
 		change = r.monitor.RecordLoad(r.cfg.Clock(), load)
 		r.cfg.OnSlots(load.Slots)
+		r.cfg.OnLeaving(load.Leaving)
 	}
 	if err == nil || change.Down {
 		r.cfg.OnDown(change.Down)
--- a/internal/agent/engine/runner_test.go
+++ b/internal/agent/engine/runner_test.go
@@ -29,6 +29,7 @@
 	runner    *Runner
 	mu        sync.Mutex
 	coldCount int
+	leaving   bool
 	crashed   []string
 }
 
@@ -50,14 +51,15 @@
 	client := NewClient(ClientConfig{Base: "http://" + e.Addr(), Clock: time.Now})
 	t.Cleanup(client.Close)
 	h.runner = NewRunner(RunnerConfig{
-		Client:  client,
-		Pool:    "bronze-guides",
-		View:    func() *control.View { return view },
-		Clock:   time.Now,
-		Log:     hclog.NewNullLogger(),
-		OnCold:  func() { h.mu.Lock(); h.coldCount++; h.mu.Unlock() },
-		OnSlots: func(int) {},
-		OnDown:  func(bool) {},
+		Client:    client,
+		Pool:      "bronze-guides",
+		View:      func() *control.View { return view },
+		Clock:     time.Now,
+		Log:       hclog.NewNullLogger(),
+		OnCold:    func() { h.mu.Lock(); h.coldCount++; h.mu.Unlock() },
+		OnSlots:   func(int) {},
+		OnLeaving: func(leaving bool) { h.mu.Lock(); h.leaving = leaving; h.mu.Unlock() },
+		OnDown:    func(bool) {},
 		OnCrash: func(_ context.Context, crashed string) {
 			h.mu.Lock()
 			h.crashed = append(h.crashed, crashed)
@@ -278,3 +280,18 @@
 	require.NoError(t, r.Run(t.Context(), chatOpen("r1", nil), &sink{}))
 	assert.True(t, freed.Load())
 }
+
+func TestEngineThatReportsItLeaves(t *testing.T) {
+	h := newHarness(t, standin.Config{Slots: 8, ColdSlots: 8, RestartDelay: 10 * time.Millisecond})
+	leaving := func() bool {
+		h.runner.Poll(t.Context())
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.leaving
+	}
+	require.False(t, leaving())
+	h.engine.Leave()
+	require.True(t, leaving())
+	h.engine.Crash()
+	require.Eventually(t, func() bool { return !leaving() }, 5*time.Second, 10*time.Millisecond, "the next process doesn't leave")
+}
--- a/internal/run/agent/handover.go
+++ b/internal/run/agent/handover.go
@@ -104,12 +104,12 @@
 	return nil
 }
 
-// isLeaving reports whether the server is leaving as planned: the agent is
-// draining, control reports the server as leaving, or its zone is out.
+// isLeaving reports whether the server is leaving as planned: the agent is draining, the
+// engine or control reports the server as leaving, or its zone is out.
 func (r *Role) isLeaving() bool {
 	v := r.renewer.View()
 	zone, _ := v.Config.Zone(r.cfg.Settings.Zone)
-	return r.draining.Load() || v.Leaving || zone.Out
+	return r.draining.Load() || r.engineLeaving.Load() || v.Leaving || zone.Out
 }
 
 // handOver waits for the server table, then hands over the caches of the chats
--- a/internal/run/agent/orders.go
+++ b/internal/run/agent/orders.go
@@ -68,9 +68,10 @@
 	}
 }
 
-// sendOrder sends the due order once the process is registered.
+// sendOrder sends the due order once the process is registered. An engine that is about to stop
+// gets none; its next process does.
 func (r *Role) sendOrder(ctx context.Context, dispatcher *orderDispatcher) {
-	if at := r.registeredAt.Load(); at != nil {
+	if at := r.registeredAt.Load(); at != nil && !r.engineLeaving.Load() {
 		dispatcher.send(ctx, r.clock(), r.renewer.View(), *at)
 	}
 }
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -55,6 +55,8 @@
 	engine       *engine.Runner
 	engineClient *engine.Client
 	draining     atomic.Bool
+	// engineLeaving is set while the engine states that it is about to stop.
+	engineLeaving atomic.Bool
 	// handedOver is set when the server is leaving and its caches have been
 	// handed over.
 	handedOver atomic.Bool
@@ -137,6 +139,10 @@
 		Log:     r.cfg.Log,
 		OnCold:  func() { r.server.WithGate(func(g *admission.Gate) { g.StartCold() }) },
 		OnSlots: func(slots int) { r.server.WithGate(func(g *admission.Gate) { g.SetReportedSlots(slots) }) },
+		OnLeaving: func(leaving bool) {
+			r.engineLeaving.Store(leaving)
+			r.server.WithGate(func(g *admission.Gate) { g.SetLeaving(leaving) })
+		},
 		OnDown:  func(down bool) { r.server.WithGate(func(g *admission.Gate) { g.SetDown(down) }) },
 		OnCrash: r.reportCrash,
 	})
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -84,6 +84,8 @@
 	orders        []string
 	load          report
 	loadUpdatedAt time.Time
+	// leaving is set while the engine reports that it is about to stop.
+	leaving bool
 	// overloadedSince is when the load rose above the capacity; zero while it is not
 	// above.
 	overloadedSince time.Time
@@ -96,6 +98,7 @@
 	Generation string `json:"generation"`
 	Running    int    `json:"running"`
 	Slots      int    `json:"slots"`
+	Leaving    bool   `json:"leaving"`
 }
 
 // Stats holds the engine's own counts, for tests and trials.
@@ -128,6 +131,7 @@
 	e.generation++
 	e.running = 0
 	e.answered = 0
+	e.leaving = false
 	// lru.New fails only for sizes that are not positive.
 	e.cache, _ = lru.New[string, bool](max(1, e.cfg.CacheEntries))
 	e.streams, _ = lru.New[string, *stream](maxStreams)
@@ -264,14 +268,23 @@
 	e.answered = 0
 }
 
+// Leave makes the engine report that it is about to stop. It goes on serving.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
 func (e *Engine) serveFault(w http.ResponseWriter, r *http.Request) {
 	switch r.PathValue("name") {
 	case "crash":
 		e.Crash()
 	case "cold":
 		e.TurnCold()
+	case "leave":
+		e.Leave()
 	default:
-		http.Error(w, "unknown fault: want crash or cold", http.StatusBadRequest)
+		http.Error(w, "unknown fault: want crash, cold or leave", http.StatusBadRequest)
 	}
 }
 
@@ -280,7 +293,7 @@
 	now := time.Now()
 	if e.loadUpdatedAt.IsZero() || now.Sub(e.loadUpdatedAt) >= e.cfg.LoadLag {
 		e.loadUpdatedAt = now
-		e.load = report{strconv.Itoa(e.generation), e.running, e.capacity()}
+		e.load = report{strconv.Itoa(e.generation), e.running, e.capacity(), e.leaving}
 	}
 	load := e.load
 	e.mu.Unlock()
