--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -62,7 +62,13 @@
 		}
 		workers.Go(func() error { o.run(callersCtx, rand.New(rand.NewPCG(cfg.seed, 50))); return nil })
 		injectFaults(ctx, cfg, f, w)
+		statements := new(errgroup.Group)
+		statements.Go(func() error { w.stateInTurn(rand.New(rand.NewPCG(cfg.seed, 3))); return nil })
 		w.limitServers(rand.New(rand.NewPCG(cfg.seed, 2)))
+		if err := statements.Wait(); err != nil {
+			stopCallers()
+			return nil, "", err
+		}
 		if served := c.countServed(); served < 16 {
 			w.addViolation("only %d of 20 requests were served after the faults", served)
 		}
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -9,6 +9,7 @@
 	"path"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,8 @@
 	// version is the version of the software. Streams of several versions don't fit together.
 	version string
 	limit   statedLimit
+	// pause and leavingSoon are what the server states, nil if it doesn't.
+	pause, leavingSoon atomic.Pointer[statement]
 }
 
 // world holds everything around the routers: the stand-in servers, the platform's
@@ -110,6 +113,16 @@
 // startLeaving marks a server as leaving, unless all others of its service are already
 // leaving. Without any server, no request could be served after the faults.
 func (w *world) startLeaving(b *backend, now time.Time) {
+	if !w.mayLeave(b) {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving, b.leavingSince = true, now
+}
+
+// mayLeave reports whether a server isn't the last of its service.
+func (w *world) mayLeave(b *backend) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	remaining := 0
@@ -120,12 +133,7 @@
 		}
 		other.mu.Unlock()
 	}
-	if remaining < 2 {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.leaving, b.leavingSince = true, now
+	return remaining >= 2
 }
 
 // signature returns a hash that binds a response to its request and body.
@@ -167,10 +175,15 @@
 	if late && w.cfg.isSettled() {
 		w.addViolation("request %s reached %s more than %s after it started leaving", id, b.id, drainGrace)
 	}
+	now := time.Now()
+	b.stateLeaving(w, rw, now)
+	if b.refuseInPause(w, rw, id, now) {
+		return
+	}
 	w.mu.Lock()
 	w.runs[id]++
 	w.mu.Unlock()
-	b.receiveLimited(w, rw, time.Now())
+	b.receiveLimited(w, rw, now)
 	standin.Sign(rw, id, signature(id, ""))
 	if b.service == "desk" {
 		time.Sleep(20 * time.Millisecond)
