--- a/cmd/bronzerill-soak/callers.go
+++ b/cmd/bronzerill-soak/callers.go
@@ -73,9 +73,16 @@
 	return served
 }
 
+// newID returns the ID of a request to a router.
+func (c *callers) newID(router int) string {
+	id := fmt.Sprintf("r%d", c.sent.Add(1))
+	c.world.sentTo.Store(id, router)
+	return id
+}
+
 // sendOne sends one request and reports whether it was served.
 func (c *callers) sendOne(client *http.Client, router int, path string) bool {
-	id := fmt.Sprintf("r%d", c.sent.Add(1))
+	id := c.newID(router)
 	request, err := http.NewRequest(http.MethodPost, "http://"+c.fleet.addr(router, "callers")+path+id, strings.NewReader("body of "+id))
 	if err != nil {
 		return false
@@ -111,7 +118,7 @@
 // stream of one version.
 func (c *callers) resume(client *http.Client, router int, path, first, events string) {
 	router %= len(c.fleet.nodes)
-	id := fmt.Sprintf("r%d", c.sent.Add(1))
+	id := c.newID(router)
 	request, err := http.NewRequest(http.MethodPost, "http://"+c.fleet.addr(router, "callers")+path+first, strings.NewReader("body of "+first))
 	if err != nil {
 		return
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -43,6 +43,8 @@
 	mu         sync.Mutex
 	// runs counts the runs of each request, by its ID.
 	runs map[string]int
+	// sentTo holds the index of the router that each request was sent to, by its ID.
+	sentTo sync.Map
 	// violations describes the violated guarantees.
 	violations []string
 }
@@ -113,6 +115,8 @@
 // startLeaving marks a server as leaving, unless all others of its service are already
 // leaving. Without any server, no request could be served after the faults.
 func (w *world) startLeaving(b *backend, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if !w.mayLeave(b) {
 		return
 	}
@@ -121,10 +125,9 @@
 	b.leaving, b.leavingSince = true, now
 }
 
-// mayLeave reports whether a server isn't the last of its service.
+// mayLeave reports whether a server isn't leaving, nor the last of its service. The caller
+// holds the lock.
 func (w *world) mayLeave(b *backend) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	remaining := 0
 	for _, other := range w.backends {
 		other.mu.Lock()
@@ -133,7 +136,9 @@
 		}
 		other.mu.Unlock()
 	}
-	return remaining >= 2
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return remaining >= 2 && !b.leaving
 }
 
 // signature returns a hash that binds a response to its request and body.
@@ -176,7 +181,7 @@
 		w.addViolation("request %s reached %s more than %s after it started leaving", id, b.id, drainGrace)
 	}
 	now := time.Now()
-	b.stateLeaving(w, rw, now)
+	b.stateLeaving(w, rw, id, now)
 	if b.refuseInPause(w, rw, id, now) {
 		return
 	}
