--- a/internal/router/caller/backoff_test.go
+++ b/internal/router/caller/backoff_test.go
@@ -164,3 +164,12 @@
 	a := new(exchange).failedCall(t.Context(), &server.Error{Run: bronzerill.RunNot, Withheld: true, Cause: cause})
 	require.Equal(t, attempt{kind: bronzerill.KindServerBackoff, run: bronzerill.RunNot, unsent: true, outcome: placement.OutcomeNone, detail: cause.Error()}, a)
 }
+
+func TestRefusalWithAPauseIsNoFailure(t *testing.T) {
+	for pause, want := range map[time.Duration]attempt{
+		0:           {kind: bronzerill.KindOverloaded, run: bronzerill.RunNot, outcome: placement.OutcomeRefused},
+		time.Second: {kind: bronzerill.KindServerBackoff, run: bronzerill.RunNot, outcome: placement.OutcomeNone},
+	} {
+		require.Equal(t, want, new(exchange).refusedAttempt(ResponseInfo{NotRun: true, Backoff: pause}))
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -115,13 +115,35 @@
 mutant "router: all routers send to a server with a low limit" $P/ratelimit.go 's/if !t\.isChosenRouter\(xxhash\.Sum64String\(r\.ID\), senders\) \{/if !t.isChosenRouter(xxhash.Sum64String(r.ID), senders) \&\& false {/' $P TestServerLimitHolds
 mutant "router: limits aren't told to peers" $P/ratelimit.go 's/if r\.limit\.own \&\& \(/if false \&\& (/' $P 'TestServerLimitReaches|TestLateResponse'
 mutant "router: a late response ends a limit" $P/ratelimit.go 's/ \&\& c\.SentAt\.Before\(r\.limit\.statedAt\)/ \&\& false/' $P TestLateResponse
-mutant "router: engines with a limit lower the load bound" $P/bound.go 's/if r\.limit\.Limited \{/if false {/' $P 'TestEngineTakesOver|TestPromptStays'
+mutant "router: engines with a limit lower the load bound" $P/server.go 's/return !r\.limit\.Limited \&\& /return /' $P 'TestEngineTakesOver|TestPromptStays'
 mutant "router: a router that has just started counts those it knows" $P/table.go 's/max\(count, len\(names\)\)/len(names)/' $P TestRouterThatJust
 mutant "router: a stream goes on at any version" $P/pick.go 's/if q\.Version != 0 \&\& r\.VersionKey\(\) != q\.Version \{/if false {/' $C 'TestBrokenStreamGoes|TestCallerResumes'
 mutant "router: an unknown stream goes on" $C/version.go 's/if e\.cfg\.Servers\.HasMixedVersions\(e\.start, e\.service\.Name\) \{/if false {/' $C TestResumedStream
 mutant "router: records of streams aren't sent to peers" $O/streams.go 's/s\.router\.gossip\.SendStream\(.*/_ = record/' $O TestStreamIsResumed
 mutant "router: a stream that can't move is given up for a pause" $C/stream.go 's/if mayMove\(\) \{/if mayMove() || true {/' $C TestPausedStream
 mutant "a stream is resumed at another engine process" $A/engine/runner.go 's/ \|\| load\.Generation != generation/ || load.Generation == ""/' $A/engine TestStreamIsNotResumed
+mutant "stated: pauses are ignored" $P/backoff.go 's/\{ return now\.Before\(b\.until\) \}/{ return false }/' $P TestPausesOfServersAreKept
+mutant "stated: all requests go out right after a pause" $P/backoff.go 's/if !b\.until\.IsZero\(\) \{/if false {/' $P TestOneRequestAfter
+mutant "stated: a shorter pause ends an earlier one" $P/backoff.go 's/latest\(b\.until, (now\.Add\(min\(pause, httpheader\.MaxRetryAfter\)\))\)/\1/' $P TestPausesAreExtended
+mutant "stated: a late response ends a pause" $P/backoff.go 's/case !c\.SentAt\.Before\(b\.until\):/default:/' $P TestPausesAreExtended
+mutant "stated: a request that was picked goes out in a pause" $P/leaving.go 's/case r\.backoff\.isActive\(now\):/case false:/' $P TestPausesAreExtended
+mutant "stated: a request that was picked goes to a leaving server" $P/leaving.go 's/case !r\.acceptsRequests\(\) \&\& .*/case false:/' $P TestServerThatStates
+mutant "stated: a withheld call is sent" $V/client.go 's/if err := call\.MaySend\(\); err != nil \{/if err := call.MaySend(); err != nil \&\& false {/' $V TestWithheld
+mutant "stated: a withheld request marks its server as down" $C/exchange.go 's/case isServerError \&\& callErr\.Withheld:/case false:/' $C TestWithheld
+mutant "stated: a refusal with a pause counts as a failure" $C/exchange.go 's/^\tif info\.Backoff > 0 \{/\tif false {/' $C TestRefusalWithAPause
+mutant "stated: Server-Leaving is ignored" $C/exchange.go 's/if info\.Leaving \&\& /if false \&\& /' $C TestServerThatStates
+mutant "stated: a leaving server keeps its requests" $P/leaving.go 's/const leavingGrace = time\.Second/const leavingGrace = 1000 * time.Hour/' $P 'TestStreamDoesNotGoOn'
+mutant "stated: a leaving server gets nothing" $P/pick.go 's/candidates = leaving$/_ = leaving/' $P TestLeavingServerStill
+mutant "stated: a statement applies to the next process too" $P/server.go 's/return s\.ID == other\.ID \&\& .*/return s.ID == other.ID/' $P 'TestPauseDoesNotApply|TestOtherServersAt'
+mutant "stated: a gap in the list ends what a server stated" $P/table.go 's/unlistedMemory = 2 \* time\.Second/unlistedMemory = 0 * time.Second/' $P TestGapInTheList
+mutant "stated: pauses of peers are ignored" $P/backoff.go 's/if !now\.Before\(r\.avoidUntil\) \{/if true {/' $P 'TestRoutersAvoid|TestPausesOfPeers'
+mutant "stated: a single peer's pause counts" $P/table.go 's/r\.avoidUntil = pauses\[r\.key\]\.second/r.avoidUntil = pauses[r.key].first/' $P TestPausesOfPeers
+mutant "stated: engines in a pause lower the load bound" $P/server.go 's/ \&\& !r\.backoff\.isActive\(now\) \&\& / \&\& /' $P TestLoadBoundLeavesOut
+mutant "stated: the query for cached prompts ignores pauses" $P/report.go 's/ \&\& r\.backoff\.wait\(now\) <= 0 \{/ {/' $P TestEnginesInAPause
+mutant "stated: a silent request moves to a server in a pause" $P/pick.go 's/if !q\.matches\(r\) \|\| r\.backoff\.wait\(now\) > 0 \{/if !q.matches(r) {/' $P TestSilentRequest
+mutant "stated: agents ignore pauses" $A/engine/client.go 's/; wait > 0 \{/; wait > 0 \&\& false {/' $A/engine TestEngineGetsNothing
+mutant "stated: agents ignore the pauses of services" $A/service/client.go 's/; wait > 0 \{/; wait > 0 \&\& false {/' $A/service TestServiceGetsNo
+mutant "stated: agents ignore engines that leave" $A/admission/gate.go 's/g\.draining \|\| g\.leaving \|\| v\.Leaving/g.draining || v.Leaving/' $A/admission TestAdmit
 
 if [ "$survived" -gt 0 ]; then
 	echo "$survived mutants were not caught"
