--- a/internal/router/caller/dialect.go
+++ b/internal/router/caller/dialect.go
@@ -98,8 +98,6 @@
 	BackoffInvalid bool
 	// Leaving is set if the server states that it is about to stop.
 	Leaving bool
-	// Closing is set if the server closes the connection.
-	Closing bool
 	// Signed is set if the response has the server's signature.
 	Signed bool
 }
