--- a/internal/router/placement/ratelimit.go
+++ b/internal/router/placement/ratelimit.go
@@ -80,7 +80,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.servers[c.ID]
-	if !ok || r.limit.Limited && !limit.Limited && c.SentAt.Before(r.limit.statedAt) {
+	if !ok || !r.isSameProcess(c.Server) || r.limit.Limited && !limit.Limited && c.SentAt.Before(r.limit.statedAt) {
 		return limit
 	}
 	previous = r.limit.RateLimit
--- a/internal/router/placement/ratelimit_test.go
+++ b/internal/router/placement/ratelimit_test.go
@@ -264,6 +264,20 @@
 	require.Empty(t, table.RateLimitsToGossip(start.Add(11*time.Second)))
 }
 
+func TestLateResponseOfThePreviousProcessSetsNoLimit(t *testing.T) {
+	servers := list("desk", 1)
+	servers[0].Born = 1
+	table := newTable("a", servers)
+	old, err := table.Pick(start, query(deskService, 0))
+	require.NoError(t, err)
+	servers = list("desk", 1)
+	servers[0].Born = 2
+	table.SetList(start.Add(time.Second), start.Add(time.Second), servers)
+	table.SetRateLimit(start.Add(2*time.Second), old, RateLimit{Limited: true})
+	_, err = table.Pick(start.Add(2*time.Second), query(deskService, 0))
+	require.NoError(t, err)
+}
+
 func TestInapplicableServerLimitsOfPeers(t *testing.T) {
 	servers := list("desk", 1)
 	servers[0].Born = 1
