--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -279,7 +279,7 @@
 func (e *exchange) refusedAttempt(info ResponseInfo) attempt {
 	if info.Misdirected {
 		// The address belongs to another server now, so the picked one is gone.
-		e.cfg.Servers.SetLeaving(e.choice.ID)
+		e.cfg.Servers.SetReplaced(e.choice)
 		return attempt{kind: bronzerill.KindNoServer, run: bronzerill.RunNot, outcome: placement.OutcomeNone}
 	}
 	if info.Backoff > 0 {
--- a/internal/router/placement/directory_test.go
+++ b/internal/router/placement/directory_test.go
@@ -50,7 +50,7 @@
 	table := newTable("a", list("guides", 3))
 	old := pick(t, table, start, 5)
 	require.Empty(t, old.FetchFrom)
-	table.SetLeaving(old.ID)
+	setReplaced(table, old.ID)
 	next := pick(t, table, start, 5)
 	require.NotEqual(t, old.ID, next.ID)
 	require.Equal(t, old.Addr, next.FetchFrom)
--- a/internal/router/placement/leaving.go
+++ b/internal/router/placement/leaving.go
@@ -10,12 +10,13 @@
 // that no other server can take, such as the rest of a stream of its version.
 const leavingGrace = time.Second
 
-// SetLeaving marks a server as leaving, after another server answered at its
+// SetReplaced marks a server as leaving, after another server answered at its
 // address. It gets no requests at all.
-func (t *Table) SetLeaving(id string) {
+func (t *Table) SetReplaced(c Choice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, ok := t.servers[id]; ok {
+	// The server may have started again at another address since it was picked.
+	if r, ok := t.servers[c.ID]; ok && r.isSameProcess(c.Server) && r.Addr == c.Addr {
 		r.Leaving, r.leavingAt = true, time.Time{}
 	}
 }
--- a/internal/router/placement/leaving_test.go
+++ b/internal/router/placement/leaving_test.go
@@ -17,6 +17,21 @@
 	return choice
 }
 
+// setReplaced reports that another server answered at the address of a server.
+func setReplaced(table *Table, id string) {
+	table.SetReplaced(Choice{Server: table.servers[id].Server})
+}
+
+func TestServerThatMovedIsUsedAfterARequestToItsOldAddress(t *testing.T) {
+	table := newTable("a", list("desk", 1))
+	old := pickOnly(t, table, start)
+	moved := list("desk", 1)
+	moved[0].Addr = "10.0.0.99:80"
+	table.SetList(start.Add(1), start.Add(1), moved)
+	table.SetReplaced(old)
+	require.Equal(t, moved[0].Addr, pickOnly(t, table, start.Add(2)).Addr)
+}
+
 func TestServerThatStatesItLeavesIsNotPicked(t *testing.T) {
 	later := start.Add
 	leaving := Choice{Server: list("desk", 2)[0], SentAt: start}
@@ -63,7 +78,7 @@
 			table.SetList(start, start, leaving)
 			table.SetStatedLeaving(start.Add(leavingGrace/2), c)
 		}, leavingGrace},
-		{"another server answered at its address", func(table *Table, c Choice) { table.SetLeaving(c.ID) }, 0},
+		{"another server answered at its address", func(table *Table, c Choice) { setReplaced(table, c.ID) }, 0},
 		{"asked for a pause too", func(table *Table, c Choice) {
 			table.SetStatedLeaving(start, c)
 			table.SetBackoff(start, c, time.Minute)
--- a/internal/router/placement/load_test.go
+++ b/internal/router/placement/load_test.go
@@ -173,7 +173,7 @@
 	before := f.prefills
 	for _, table := range f.tables {
 		for i := 0; i < 9; i += 3 {
-			table.SetLeaving(fmt.Sprintf("guides-%d", i))
+			setReplaced(table, fmt.Sprintf("guides-%d", i))
 		}
 	}
 	f.run(10*time.Second, 90, prompt)
--- a/internal/router/placement/table_test.go
+++ b/internal/router/placement/table_test.go
@@ -45,7 +45,7 @@
 		name   string
 		change func(*Table, *Query)
 	}{
-		{"a leaving server", func(table *Table, _ *Query) { table.SetLeaving("guides-0") }},
+		{"a leaving server", func(table *Table, _ *Query) { setReplaced(table, "guides-0") }},
 		{"a server listed as leaving", func(table *Table, _ *Query) {
 			servers := list("guides", 2)
 			servers[0].Leaving = true
@@ -79,14 +79,14 @@
 
 func TestPickFailsWithoutServers(t *testing.T) {
 	table := newTable("a", list("guides", 1))
-	table.SetLeaving("guides-0")
+	setReplaced(table, "guides-0")
 	_, err := table.Pick(start, query(engineService, 1))
 	require.Equal(t, bronzerill.KindNoServer, bronzerill.KindOf(err))
 }
 
 func TestListDoesNotClearLeaving(t *testing.T) {
 	table := newTable("a", list("guides", 2))
-	table.SetLeaving("guides-0")
+	setReplaced(table, "guides-0")
 	table.SetList(start.Add(time.Second), start.Add(time.Second), list("guides", 2))
 	table.SetList(start.Add(2*time.Second), start.Add(-time.Second), list("guides", 2))
 	choice, err := table.Pick(start, query(engineService, 1))
@@ -98,7 +98,7 @@
 	servers := list("guides", 1)
 	servers[0].Born = 100
 	table := newTable("a", servers)
-	table.SetLeaving("guides-0")
+	setReplaced(table, "guides-0")
 	servers = list("guides", 1)
 	servers[0].Born = 200
 	servers[0].Cold = 2 * time.Second
--- a/internal/router/placement/version_test.go
+++ b/internal/router/placement/version_test.go
@@ -69,8 +69,8 @@
 	require.Equal(t, bronzerill.KindNoServer, bronzerill.KindOf(err), "the servers of the version were tried")
 
 	q.Excluded = nil
-	table.SetLeaving("guides-1")
-	table.SetLeaving("guides-3")
+	setReplaced(table, "guides-1")
+	setReplaced(table, "guides-3")
 	_, err = table.Pick(start, q)
 	require.Equal(t, bronzerill.KindVersionGone, bronzerill.KindOf(err))
 }
