--- a/internal/router/caller/backoff_test.go
+++ b/internal/router/caller/backoff_test.go
@@ -173,3 +173,25 @@
 		require.Equal(t, want, new(exchange).refusedAttempt(ResponseInfo{NotRun: true, Backoff: pause}))
 	}
 }
+
+func TestStreamIsNotResumedAtAServerInAPause(t *testing.T) {
+	broken := resumableBackend(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	router := newTestRouter(t, broken, func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, 4, 8) })
+	pause := func(i int) {
+		now := time.Now()
+		router.table.SetBackoff(now, placement.Choice{Server: router.servers[i], SentAt: now}, time.Minute)
+	}
+	pause(1)
+	_, body, err := router.call("/resumable/x")
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF, "no other server may go on with it")
+	require.Equal(t, eventText(1, 3), body)
+	pause(0)
+	resumption := router.request(t.Context(), "/resumable/x")
+	resumption.Header.Set("Resume", "3")
+	response, err := http.DefaultClient.Do(resumption)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Zero(t, router.received[1].Load())
+	require.EqualValues(t, 1, router.received[0].Load())
+}
