--- a/cmd/bronzerill-soak/callers.go
+++ b/cmd/bronzerill-soak/callers.go
@@ -27,6 +27,16 @@
 	mu                  sync.Mutex
 	// refusals counts refused requests by reason.
 	refusals map[string]int
+	// lastError is why the last request got no response, nil if all got one.
+	lastError error
+}
+
+// countUnknown counts a request that got no response.
+func (c *callers) countUnknown(err error) {
+	c.unknown.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastError = err
 }
 
 // countRefusal counts a refused request under the reason in its response body.
@@ -94,7 +104,7 @@
 	wasUp, startedAt := c.fleet.isUp(router), time.Now()
 	response, err := client.Do(request)
 	if err != nil {
-		c.unknown.Add(1)
+		c.countUnknown(err)
 		return false
 	}
 	data, err := io.ReadAll(response.Body)
--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -70,7 +70,7 @@
 			return nil, "", err
 		}
 		if served := c.countServed(); served < 16 {
-			w.addViolation("only %d of 20 requests were served after the faults", served)
+			w.addViolation("only %d of 20 requests were served after the faults; last error: %v", served, c.lastError)
 		}
 	} else {
 		w.addViolation("no declared state was accepted at the start")
