--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -236,58 +236,6 @@
 	return e.forwardResponse(attemptCtx, response, now, latency)
 }
 
-// applyStatements records what the server states about itself. A misdirected request was
-// answered by another server.
-func (e *exchange) applyStatements(info ResponseInfo) {
-	if info.Misdirected {
-		return
-	}
-	now := e.cfg.Clock()
-	e.applyRateLimit(info)
-	e.applyBackoff(now, info)
-	if info.Leaving && e.cfg.Servers.SetStatedLeaving(now, e.choice) {
-		e.logLeaving(now)
-	}
-}
-
-// applyBackoff records whether the server asks for a pause.
-func (e *exchange) applyBackoff(now time.Time, info ResponseInfo) {
-	if info.BackoffInvalid {
-		metrics.Count(metrics.EventBackoffInvalid)
-		return
-	}
-	sentInPause := e.cfg.Servers.SetBackoff(now, e.choice, info.Backoff)
-	if info.Backoff > 0 {
-		e.logBackoff(now, info.Backoff, sentInPause)
-	}
-}
-
-// applyRateLimit records whether the server states a limit on its requests. Only a signed
-// response shows that it has none.
-func (e *exchange) applyRateLimit(info ResponseInfo) {
-	switch {
-	case info.LimitInvalid:
-		metrics.Count(metrics.EventRateLimitInvalid)
-	case info.Limit.Limited || info.Signed:
-		now := e.cfg.Clock()
-		if previous := e.cfg.Servers.SetRateLimit(now, e.choice, info.Limit); previous != info.Limit {
-			e.logRateLimit(now, previous, info.Limit)
-		}
-	}
-}
-
-func (e *exchange) refusedAttempt(info ResponseInfo) attempt {
-	if info.Misdirected {
-		// The address belongs to another server now, so the picked one is gone.
-		e.cfg.Servers.SetReplaced(e.choice)
-		return attempt{kind: bronzerill.KindNoServer, run: bronzerill.RunNot, outcome: placement.OutcomeNone}
-	}
-	if info.Backoff > 0 {
-		return attempt{kind: bronzerill.KindServerBackoff, run: bronzerill.RunNot, outcome: placement.OutcomeNone}
-	}
-	return attempt{kind: bronzerill.KindOverloaded, run: bronzerill.RunNot, outcome: placement.OutcomeRefused}
-}
-
 // failedCall classifies a call that got no response. Without proof of the contrary the server
 // may have run the request.
 func (e *exchange) failedCall(ctx context.Context, err error) attempt {
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -292,38 +292,6 @@
 	}
 }
 
-// logRateLimit logs that the picked server states another limit than before.
-func (e *exchange) logRateLimit(now time.Time, previous, limit placement.RateLimit) {
-	metrics.Count(metrics.EventRateLimitChanged)
-	if e.failedLog.Allow(now) {
-		e.cfg.Log.Info("server limit changed", "server", e.choice.ID, "service", e.choice.Service, "request", e.request.ID,
-			"limited", limit.Limited, "per-second", limit.PerSecond, "before-limited", previous.Limited, "before-per-second", previous.PerSecond)
-	}
-}
-
-// logBackoff logs that the picked server asked for a pause, and whether it got the request
-// in an earlier one.
-func (e *exchange) logBackoff(now time.Time, pause time.Duration, sentInPause bool) {
-	metrics.Count(metrics.EventBackoff)
-	if sentInPause {
-		metrics.Count(metrics.EventBackoffIgnored)
-	}
-	if e.failedLog.Allow(now) {
-		e.cfg.Log.Info("server asked for a pause", "server", e.choice.ID, "service", e.choice.Service, "request", e.request.ID,
-			"pause-ms", pause.Milliseconds(), "picked-ms-ago", now.Sub(e.choice.SentAt).Milliseconds(), "in-pause", sentInPause)
-	}
-}
-
-// logLeaving logs that the picked server states that it is about to stop, before the list
-// showed that.
-func (e *exchange) logLeaving(now time.Time) {
-	metrics.Count(metrics.EventServerLeaving)
-	if e.failedLog.Allow(now) {
-		e.cfg.Log.Info("server states that it leaves", "server", e.choice.ID, "service", e.choice.Service, "request", e.request.ID,
-			"list-age-ms", e.choice.ListAge.Milliseconds())
-	}
-}
-
 // logOutcome logs the outcome of the request, with the loads and waiting times by
 // which its server was picked or the request was refused.
 func (e *exchange) logOutcome(kind bronzerill.Kind, status int) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -130,8 +130,8 @@
 mutant "stated: a request that was picked goes to a leaving server" $P/leaving.go 's/case !r\.acceptsRequests\(\) \&\& .*/case false:/' $P TestServerThatStates
 mutant "stated: a withheld call is sent" $V/client.go 's/if err := call\.MaySend\(\); err != nil \{/if err := call.MaySend(); err != nil \&\& false {/' $V TestWithheld
 mutant "stated: a withheld request marks its server as down" $C/exchange.go 's/case isServerError \&\& callErr\.Withheld:/case false:/' $C TestWithheld
-mutant "stated: a refusal with a pause counts as a failure" $C/exchange.go 's/^\tif info\.Backoff > 0 \{/\tif false {/' $C TestRefusalWithAPause
-mutant "stated: Server-Leaving is ignored" $C/exchange.go 's/if info\.Leaving \&\& /if false \&\& /' $C TestServerThatStates
+mutant "stated: a refusal with a pause counts as a failure" $C/statements.go 's/^\tif info\.Backoff > 0 \{/\tif false {/' $C TestRefusalWithAPause
+mutant "stated: Server-Leaving is ignored" $C/statements.go 's/if info\.Leaving \&\& /if false \&\& /' $C TestServerThatStates
 mutant "stated: a leaving server keeps its requests" $P/leaving.go 's/const leavingGrace = time\.Second/const leavingGrace = 1000 * time.Hour/' $P 'TestStreamDoesNotGoOn'
 mutant "stated: a leaving server gets nothing" $P/pick.go 's/candidates = leaving$/_ = leaving/' $P TestLeavingServerStill
 mutant "stated: a statement applies to the next process too" $P/server.go 's/return s\.ID == other\.ID \&\& .*/return s.ID == other.ID/' $P 'TestPauseDoesNotApply|TestOtherServersAt'
