--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -287,7 +287,13 @@
 // isBroken reports whether a response that ended with its connection, without a length or
 // chunks, ended because the server crashed.
 func (e *exchange) isBroken(ctx context.Context, response *server.Response) bool {
-	return !response.Framed && e.checkCrash(ctx, e.cfg.Clock())
+	if response.Framed {
+		return false
+	}
+	endedAt := e.cfg.Clock()
+	broken := e.checkCrash(ctx, endedAt)
+	e.logUnframed(endedAt, broken)
+	return broken
 }
 
 func (e *exchange) newCall(now time.Time) server.Call {
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -132,6 +132,8 @@
 	// version is the version of the servers that may send events of the stream. It is 0
 	// before the first event of a new stream.
 	version streamVersion
+	// origin is what is known of the version of a stream that the caller resumes.
+	origin streamOrigin
 	// lastEventID is the ID of the last complete event sent to the caller.
 	lastEventID string
 	// fingerprint identifies the request when it is sent again.
@@ -283,6 +285,20 @@
 		"ms", e.cfg.Clock().Sub(e.start).Milliseconds())
 }
 
+// logUnframed logs that a response without a length or chunks has ended, and whether that
+// counts as broken off.
+func (e *exchange) logUnframed(endedAt time.Time, broken bool) {
+	metrics.Count(metrics.EventUnframed)
+	if broken {
+		metrics.Count(metrics.EventUnframedBroken)
+	}
+	now := e.cfg.Clock()
+	if e.failedLog.Allow(now) {
+		e.cfg.Log.Info("unframed response ended", "request", e.request.ID, "server", e.choice.ID, "born", e.choice.Born, "broken", broken,
+			"ms", endedAt.Sub(e.start).Milliseconds(), "check-us", now.Sub(endedAt).Microseconds())
+	}
+}
+
 // logCrash logs that a server was found down while it had requests of this router, and
 // the suspects among these.
 func (e *exchange) logCrash(server placement.Server, suspects []placement.Fingerprint) {
@@ -323,7 +339,7 @@
 			"keepers", e.choice.CacheLocations, "fetched-from", e.choice.FetchFrom)
 	}
 	if e.request.Resumes != "" || e.request.ResumeAfter != "" {
-		fields = append(fields, "resumes", e.request.Resumes, "resume-after", e.request.ResumeAfter)
+		fields = append(fields, "resumes", e.request.Resumes, "resume-after", e.request.ResumeAfter, "origin", e.origin.String())
 	}
 	if kind == bronzerill.KindSuspect {
 		fields = append(fields, "suspect", uint64(e.quarantine.Suspect), "parts", e.request.SharedParts(), "retry-after-ms", e.retryAfter.Milliseconds())
--- a/internal/router/caller/version.go
+++ b/internal/router/caller/version.go
@@ -16,6 +16,27 @@
 
 func (v *streamVersion) set(key placement.VersionKey) { v.key.Store(uint32(key)) }
 
+// streamOrigin is what a router knows of the version at which a resumed stream began.
+type streamOrigin int
+
+// Origins of a stream.
+const (
+	// originNone belongs to requests that resume nothing.
+	originNone streamOrigin = iota
+	// originRecorded means that a record of the stream was found.
+	originRecorded
+	// originAssumed means that no record was found, and the service has one version.
+	originAssumed
+	// originUnknown means that no record was found, and the service has had several
+	// versions.
+	originUnknown
+)
+
+var originNames = [...]string{"none", "recorded", "assumed", "unknown"}
+
+// String returns the name of the origin in logs.
+func (o streamOrigin) String() string { return originNames[o] }
+
 // firstAttempt returns the ID of the caller's attempt with which the stream began.
 func (e *exchange) firstAttempt() string {
 	if e.request.Resumes != "" {
@@ -34,12 +55,17 @@
 	if e.request.Resumes != "" {
 		if version, found := e.cfg.Streams.Version(e.r.Context(), e.start, e.request.Resumes); found {
 			e.version.set(version)
+			e.origin = originRecorded
+			metrics.Count(metrics.EventResumedRecorded)
 			return bronzerill.KindNone
 		}
 	}
 	if e.cfg.Servers.HasMixedVersions(e.start, e.service.Name) {
+		e.origin = originUnknown
 		return bronzerill.KindUnknownStream
 	}
+	e.origin = originAssumed
+	metrics.Count(metrics.EventResumedAssumed)
 	return bronzerill.KindNone
 }
 
