--- /dev/null
+++ b/internal/router/caller/cutoff_test.go
@@ -0,0 +1,225 @@
+package caller
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"bronzerill/internal/router/placement"
+)
+
+// unframedServer is a backend server at a fixed address whose responses have neither a length
+// nor chunks. Its process can end, and another one can start at the address.
+type unframedServer struct {
+	t    *testing.T
+	addr string
+	// id and born are those that the list states.
+	id      string
+	born    int64
+	mu      sync.Mutex
+	http    *http.Server
+	serving errgroup.Group
+}
+
+// unframedBody returns what the server sends up to an event, and what it sends in all.
+func unframedBody(path string, events int) string {
+	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
+		return eventText(1, events)
+	}
+	return strings.Repeat("x", 100*events)
+}
+
+const (
+	// cutAfter is the number of events after which a server ends, of wholeEvents.
+	cutAfter    = 3
+	wholeEvents = 8
+)
+
+func newUnframedServer(t *testing.T, id string, born int64) *unframedServer {
+	s := &unframedServer{t: t, id: id, born: born}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.addr = listener.Addr().String()
+	t.Cleanup(func() {
+		_ = s.current().Close()
+		_ = s.serving.Wait()
+	})
+	return s.start(listener, id, born, http.NotFoundHandler())
+}
+
+func (s *unframedServer) current() *http.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.http
+}
+
+// start starts a process that states id and born.
+func (s *unframedServer) start(listener net.Listener, id string, born int64, requests http.Handler) *unframedServer {
+	process := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		switch {
+		case r.URL.Path != testStatusPath:
+			requests.ServeHTTP(w, r)
+		case r.Header.Get("Server") != id:
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		case born != 0:
+			_, _ = io.WriteString(w, strconv.FormatInt(born, 10))
+		}
+	})}
+	s.mu.Lock()
+	s.http = process
+	s.mu.Unlock()
+	s.serving.Go(func() error { _ = process.Serve(listener); return nil }) // ends when the process is closed
+	return s
+}
+
+// respond makes the server send a body without framing, pause, call end and close the connection.
+func (s *unframedServer) respond(body func(path string) string, pause time.Duration, end func()) *unframedServer {
+	s.current().Handler = func(status http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == testStatusPath {
+				status.ServeHTTP(w, r)
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), body(r.URL.Path))
+			time.Sleep(pause)
+			end()
+			_ = conn.Close()
+		})
+	}(s.current().Handler)
+	return s
+}
+
+// crash ends the process with all its connections but those that send a response.
+func (s *unframedServer) crash() { _ = s.current().Close() }
+
+// restart starts another process at the address.
+func (s *unframedServer) restart(id string, born int64) {
+	listener, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return
+	}
+	s.start(listener, id, born, http.NotFoundHandler())
+}
+
+// hang makes the address accept connections that nobody serves.
+func (s *unframedServer) hang() {
+	listener, err := net.Listen("tcp", s.addr)
+	if err == nil {
+		s.t.Cleanup(func() { _ = listener.Close() })
+	}
+}
+
+// newUnframedRouter returns a router before the server, and one that answers what is sent again.
+func newUnframedRouter(t *testing.T, s *unframedServer) *testRouter {
+	other := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/resumable/x" {
+			after, _ := strconv.Atoi(r.Header.Get("Resume"))
+			sendEvents(w, r, after+1, wholeEvents)
+			return
+		}
+		respond(http.StatusOK, unframedBody(r.URL.Path, wholeEvents))(w, r)
+	}
+	router := newTestRouter(t, other)
+	first := placement.Server{ID: s.id, Service: "desk", Addr: s.addr, Slots: 6, Born: s.born}
+	now := time.Now()
+	router.table.SetList(now, now, []placement.Server{first})
+	// The other server is listed once the first one has got the request.
+	end := s.current().Handler
+	s.current().Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != testStatusPath {
+			now := time.Now()
+			router.table.SetList(now, now, append(router.servers, first))
+		}
+		end.ServeHTTP(w, r)
+	})
+	return router
+}
+
+func TestCutOffResponseWithoutFramingIsNotComplete(t *testing.T) {
+	ends := map[string]func(s *unframedServer){
+		"down":                       func(s *unframedServer) { s.crash() },
+		"back at its address":        func(s *unframedServer) { s.crash(); s.restart(s.id, max(0, s.born)*2) },
+		"another at its address":     func(s *unframedServer) { s.crash(); s.restart("other", 77) },
+		"accepts, but doesn't reply": func(s *unframedServer) { s.crash(); s.hang() },
+	}
+	for _, path := range []string{"/stream/x", "/resumable/x", "/once/x", "/repeatable/x"} {
+		for end, do := range ends {
+			for _, born := range []int64{0, 1} {
+				for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
+					t.Run(fmt.Sprintf("%s, %s, start time %d, pause %v", path[1:], end, born, pause), func(t *testing.T) {
+						s := newUnframedServer(t, "first", born)
+						s.respond(func(path string) string { return unframedBody(path, cutAfter) }, pause, func() { do(s) })
+						status, body, err := newUnframedRouter(t, s).call(path)
+						switch path {
+						case "/stream/x":
+							require.Equal(t, http.StatusOK, status)
+							require.ErrorIs(t, err, io.ErrUnexpectedEOF, body)
+						case "/once/x":
+							require.Equal(t, http.StatusBadGateway, status, body)
+						default:
+							require.NoError(t, err)
+							require.Equal(t, http.StatusOK, status)
+							require.Equal(t, unframedBody(path, wholeEvents), body)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+func TestWholeResponseWithoutFramingIsComplete(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resumable/x", "/once/x", "/repeatable/x"} {
+		for _, born := range []int64{0, 1} {
+			s := newUnframedServer(t, "first", born)
+			s.respond(func(path string) string { return unframedBody(path, wholeEvents) }, 0, func() {})
+			router := newUnframedRouter(t, s)
+			status, body, err := router.call(path)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, unframedBody(path, wholeEvents), body)
+			require.Zero(t, router.totalReceived(), "%s isn't sent again", path)
+		}
+	}
+}
+
+// callHTTP10 calls as a caller that knows no chunks, and returns all bytes and the error after them.
+func (router *testRouter) callHTTP10(path string) (string, error) {
+	conn, err := net.Dial("tcp", router.frontend.Listener.Addr().String())
+	require.NoError(router.t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: h\r\nId: r1\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody", path)
+	require.NoError(router.t, err)
+	data, err := io.ReadAll(bufio.NewReader(conn))
+	return string(data), err
+}
+
+func TestCutOffStreamIsResetForCallersWithoutChunks(t *testing.T) {
+	cut := func(w http.ResponseWriter, r *http.Request) {
+		sendEvents(w, r, 1, cutAfter)
+		panic(http.ErrAbortHandler)
+	}
+	whole := func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, 1, cutAfter) }
+	_, err := newTestRouter(t, cut).callHTTP10("/stream/x")
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	body, err := newTestRouter(t, whole).callHTTP10("/stream/x")
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(body, eventText(1, cutAfter)), body)
+}
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -26,6 +26,9 @@
 	"bronzerill/internal/router/server"
 )
 
+// testStatusPath is the path of the servers' status.
+const testStatusPath = "/status"
+
 // testDialect is a minimal Dialect with short header names.
 type testDialect struct{}
 
