--- a/internal/router/caller/broken_test.go
+++ b/internal/router/caller/broken_test.go
@@ -15,11 +15,17 @@
 
 // sendUnframed sends a response without a length or chunks, which ends with its connection.
 func sendUnframed(w http.ResponseWriter, r *http.Request, contentType, body string) {
+	sendUnframedThen(w, r, contentType, body, func() {})
+}
+
+// sendUnframedThen calls end before it closes the connection of the response.
+func sendUnframedThen(w http.ResponseWriter, r *http.Request, contentType, body string, end func()) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nSignature: s\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
+	end()
 	_ = conn.Close()
 }
 
@@ -62,8 +68,10 @@
 		var backend *httptest.Server
 		backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body) // the caller notices a failure
-			_ = backend.Listener.Close()
-			sendUnframed(w, r, "text/event-stream", eventText(1, 2))
+			sendUnframedThen(w, r, "text/event-stream", eventText(1, 2), func() {
+				_ = backend.Listener.Close()
+				backend.CloseClientConnections()
+			})
 		}))
 		t.Cleanup(backend.Close)
 		now := time.Now()
--- a/internal/router/caller/cutoff_test.go
+++ b/internal/router/caller/cutoff_test.go
@@ -93,14 +93,10 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, r.Body)
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				return
-			}
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), body(r.URL.Path))
-			time.Sleep(pause)
-			end()
-			_ = conn.Close()
+			sendUnframedThen(w, r, "text/event-stream", body(r.URL.Path), func() {
+				time.Sleep(pause)
+				end()
+			})
 		})
 	}(s.current().Handler)
 	return s
--- a/internal/router/caller/dialect.go
+++ b/internal/router/caller/dialect.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"bronzerill"
+	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/placement"
+	"bronzerill/internal/router/server"
 )
 
 // PromptPart is one part of a prompt that servers may cache.
@@ -102,6 +104,16 @@
 	Signed bool
 }
 
+// ServerStatus is what a server states about itself, apart from requests.
+type ServerStatus struct {
+	// Misdirected is set if the address belongs to another server.
+	Misdirected bool
+	// ID is empty, and Born 0, if the server doesn't state them. Born is the start time of its
+	// process in Unix milliseconds.
+	ID   string
+	Born int64
+}
+
 // Dialect translates between the types of this package and the headers that callers
 // and servers use.
 type Dialect interface {
@@ -112,6 +124,11 @@
 	ForwardHeader(h http.Header, o ForwardOptions) http.Header
 	// ParseResponse parses the status and headers of a server's response.
 	ParseResponse(status int, h http.Header) ResponseInfo
+	// StatusCall returns the call, without an address, that asks a server of a service for its
+	// status.
+	StatusCall(service declared.Service, serverID string) server.Call
+	// ParseStatus parses the response to that call.
+	ParseStatus(status int, h http.Header, body []byte) ServerStatus
 	// ResponseHeader returns the headers of a server's response that are forwarded to
 	// the caller.
 	ResponseHeader(h http.Header) http.Header
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -284,18 +284,6 @@
 	return true
 }
 
-// isBroken reports whether a response that ended with its connection, without a length or
-// chunks, ended because the server crashed.
-func (e *exchange) isBroken(ctx context.Context, response *server.Response) bool {
-	if response.Framed {
-		return false
-	}
-	endedAt := e.cfg.Clock()
-	broken := e.checkCrash(ctx, endedAt)
-	e.logUnframed(endedAt, broken)
-	return broken
-}
-
 func (e *exchange) newCall(now time.Time) server.Call {
 	options := ForwardOptions{
 		Server:      e.choice.ID,
@@ -315,6 +303,7 @@
 		Header:    e.cfg.Dialect.ForwardHeader(e.r.Header, options),
 		Body:      e.body,
 		FreshConn: !e.route.MayRepeat(),
+		Witness:   !e.statesStartTime(),
 		MaySend:   func() error { return e.cfg.Servers.MaySend(e.cfg.Clock(), e.choice) },
 		Matches: func(h http.Header) bool {
 			responseID := e.cfg.Dialect.ParseResponse(0, h).ID
@@ -332,8 +321,9 @@
 		return truncated(err.Error())
 	case len(body) > maxBody:
 		return truncated("body too large")
-	case e.isBroken(ctx, response):
-		return truncated("ended as the server crashed")
+	case !e.isWhole(ctx, response):
+		e.reportLost(ctx)
+		return truncated("ended with its connection, and perhaps with the server")
 	}
 	*latency = e.cfg.Clock().Sub(now)
 	e.cfg.Servers.ResponseStarted(e.cfg.Clock(), &e.choice)
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -285,20 +285,6 @@
 		"ms", e.cfg.Clock().Sub(e.start).Milliseconds())
 }
 
-// logUnframed logs that a response without a length or chunks has ended, and whether that
-// counts as broken off.
-func (e *exchange) logUnframed(endedAt time.Time, broken bool) {
-	metrics.Count(metrics.EventUnframed)
-	if broken {
-		metrics.Count(metrics.EventUnframedBroken)
-	}
-	now := e.cfg.Clock()
-	if e.failedLog.Allow(now) {
-		e.cfg.Log.Info("unframed response ended", "request", e.request.ID, "server", e.choice.ID, "born", e.choice.Born, "broken", broken,
-			"ms", endedAt.Sub(e.start).Milliseconds(), "check-us", now.Sub(endedAt).Microseconds())
-	}
-}
-
 // logCrash logs that a server was found down while it had requests of this router, and
 // the suspects among these.
 func (e *exchange) logCrash(server placement.Server, suspects []placement.Fingerprint) {
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -69,6 +69,15 @@
 	return info
 }
 
+func (testDialect) StatusCall(_ declared.Service, serverID string) server.Call {
+	return server.Call{Method: http.MethodGet, Target: testStatusPath, Header: http.Header{"Server": {serverID}}}
+}
+
+func (testDialect) ParseStatus(status int, _ http.Header, body []byte) ServerStatus {
+	born, _ := strconv.ParseInt(string(body), 10, 64)
+	return ServerStatus{Misdirected: status == http.StatusMisdirectedRequest, Born: born}
+}
+
 func (testDialect) ResponseHeader(h http.Header) http.Header {
 	out := h.Clone()
 	out.Del("Transfer-Encoding")
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -244,8 +244,9 @@
 		s.reportLost(ctx)
 		return truncated("ended inside an event")
 	}
-	if s.isBroken(ctx, s.response) {
-		return truncated("ended as the server crashed")
+	if !s.isWhole(ctx, s.response) {
+		s.reportLost(ctx)
+		return truncated("ended with its connection, and perhaps with the server")
 	}
 	if !s.headWritten && !s.forwardEvents(s.response, s.controller, nil) {
 		return attempt{kind: bronzerill.KindCanceled, run: bronzerill.RunDone, outcome: placement.OutcomeNone}
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -28,6 +28,8 @@
 	// FreshConn requires a connection that is new or was idle only briefly. Calls
 	// that can't be repeated need it, because an idle connection may be dead.
 	FreshConn bool
+	// Witness requires a second connection to the server before the call is sent.
+	Witness bool
 	// MaySend is called once the connection is open. If it returns an error, nothing is sent.
 	// Without it, the call is always sent.
 	MaySend func() error
@@ -66,8 +68,14 @@
 	Framed bool
 	// NewConn is set if a new connection was opened for the call.
 	NewConn bool
+	// Witness is the second connection, nil if the call required none or none could be
+	// opened. It is valid until the body is closed.
+	Witness *Witness
 }
 
+// errConnClosed means that a connection was closed before a call was sent on it.
+var errConnClosed = errors.New("connection closed while it was idle")
+
 // Config configures a Client.
 type Config struct {
 	// Clock returns the current time.
@@ -104,12 +112,28 @@
 	if err != nil {
 		return nil, err
 	}
+	var witness *Witness
+	if call.Witness {
+		witness = c.openWitness(ctx, call.Addr)
+	}
 	if call.MaySend != nil {
 		if err := call.MaySend(); err != nil {
 			_ = conn.Close()
+			witness.release()
 			return nil, &Error{Run: bronzerill.RunNot, Withheld: true, Cause: err}
 		}
 	}
+	response, err := c.exchange(ctx, conn, witness, call)
+	if err != nil {
+		return nil, err
+	}
+	response.NewConn = isNew
+	return response, nil
+}
+
+// exchange sends a call on a connection and reads the header of the response. The witness may
+// be nil.
+func (c *Client) exchange(ctx context.Context, conn *clientConn, witness *Witness, call Call) (*Response, error) {
 	request := newRequest(call)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	write := startWrite(conn, request, len(call.Body))
@@ -117,6 +141,7 @@
 	if err != nil {
 		stop()
 		_ = conn.Close()
+		witness.release()
 		written := write.bytesWritten()
 		run := bronzerill.RunUnknown
 		if written == 0 {
@@ -125,15 +150,15 @@
 		return nil, &Error{Run: run, Cause: err}
 	}
 	body := &body{
-		Reader: response.Body, client: c, conn: conn, stop: stop, write: write,
+		Reader: response.Body, client: c, conn: conn, stop: stop, write: write, witness: witness,
 		reusable:      !response.Close && response.ProtoAtLeast(1, 1),
 		reusableUntil: idleDeadline(c.cfg.Clock(), response.Header),
 	}
-	framed := response.ContentLength >= 0 || isChunked(response)
+	framed := response.ContentLength >= 0 || isChunked(response) || response.Body == http.NoBody
 	body.reusable = body.reusable && framed
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: body,
-		Length: response.ContentLength, Framed: framed, NewConn: isNew,
+		Length: response.ContentLength, Framed: framed, Witness: witness,
 	}, nil
 }
 
@@ -291,6 +316,7 @@
 	conn          *clientConn
 	stop          func() bool
 	write         *requestWrite
+	witness       *Witness
 	reusable      bool
 	reusableUntil time.Time
 	atEOF         bool
@@ -313,6 +339,7 @@
 		return nil
 	}
 	b.closed = true
+	b.witness.release()
 	active := b.stop()
 	if active && b.atEOF && b.reusable && b.write.isDone() && b.conn.reader.Buffered() == 0 {
 		b.conn.usableUntil = b.reusableUntil
--- a/internal/router/server/conn.go
+++ b/internal/router/server/conn.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,6 +102,18 @@
 	_ = c.Close()
 }
 
+// putUnused returns a connection on which nothing was sent since it was taken. Connections
+// that were used are taken before it, since the server closes it for being idle first.
+func (p *pool) putUnused(c *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if list := p.idle[c.addr]; len(list) < maxIdleConns {
+		p.idle[c.addr] = slices.Insert(list, 0, c)
+		return
+	}
+	_ = c.Close()
+}
+
 // sweep closes the connections that were idle for too long.
 func (p *pool) sweep(now time.Time) {
 	p.mu.Lock()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -110,7 +110,10 @@
 mutant "router: response headers aren't bounded" $V/client.go 's/conn\.limited\.remaining = maxHeadBytes/conn.limited.remaining = unlimited/' $V TestResponseWithoutEnd
 mutant "router: events aren't bounded" $C/stream.go 's/case s\.scanner\.open > maxEventBytes:/case false:/' $C TestEventWithoutEnd
 mutant "router: single bytes count as progress" $C/stream.go 's/if complete > 0 \{/if true {/' $C TestStalledStream
-mutant "router: an unframed response of a crashed server counts as complete" $C/exchange.go 's/return !response\.Framed \&\& /return false \&\& !response.Framed \&\& /' $C TestUnframedResponse
+mutant "router: an unframed response of a crashed server counts as complete" $C/unframed.go 's/if response\.Framed \{/if true {/' $C 'TestUnframedResponse|TestCutOffResponse'
+mutant "router: any answer at the address vouches for an unframed response" $C/unframed.go 's/do = witness\.Do/_ = witness/' $C TestCutOffResponse
+mutant "router: no witness is opened" $V/client.go 's/witness = c\.openWitness\(ctx, call\.Addr\)/witness = nil/' $V TestWitness
+mutant "router: start times of processes are not compared" $C/unframed.go 's/return status\.Born == e\.choice\.Born/return true/' $C TestCutOffResponse
 mutant "router: limits that servers state are ignored" $P/ratelimit.go 's/if !r\.limit\.Limited \{/if true {/' $P TestServerLimitHolds
 mutant "router: all routers send to a server with a low limit" $P/ratelimit.go 's/if !t\.isChosenRouter\(xxhash\.Sum64String\(r\.ID\), senders\) \{/if !t.isChosenRouter(xxhash.Sum64String(r.ID), senders) \&\& false {/' $P TestServerLimitHolds
 mutant "router: limits aren't told to peers" $P/ratelimit.go 's/if r\.limit\.own \&\& \(/if false \&\& (/' $P 'TestServerLimitReaches|TestLateResponse'
