--- a/internal/router/caller/cutoff_test.go
+++ b/internal/router/caller/cutoff_test.go
@@ -34,10 +34,15 @@
 
 // unframedBody returns what the server sends up to an event, and what it sends in all.
 func unframedBody(path string, events int) string {
-	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/resumable") {
-		return eventText(1, events)
+	if path == "/once/x" || path == "/repeatable/x" {
+		return strings.Repeat("x", 100*events)
 	}
-	return strings.Repeat("x", 100*events)
+	return eventText(1, events)
+}
+
+// unframedPaths are paths of all kinds of routes, with their services.
+var unframedPaths = map[string]string{
+	"/stream/x": "desk", "/resumable/x": "desk", "/once/x": "desk", "/repeatable/x": "desk", "/engine/x": "engine",
 }
 
 const (
@@ -123,7 +128,7 @@
 }
 
 // newUnframedRouter returns a router before the server, and one that answers what is sent again.
-func newUnframedRouter(t *testing.T, s *unframedServer) *testRouter {
+func newUnframedRouter(t *testing.T, s *unframedServer, service string) *testRouter {
 	other := func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/resumable/x" {
 			after, _ := strconv.Atoi(r.Header.Get("Resume"))
@@ -133,7 +138,7 @@
 		respond(http.StatusOK, unframedBody(r.URL.Path, wholeEvents))(w, r)
 	}
 	router := newTestRouter(t, other)
-	first := placement.Server{ID: s.id, Service: "desk", Addr: s.addr, Slots: 6, Born: s.born}
+	first := placement.Server{ID: s.id, Service: service, Addr: s.addr, Slots: 6, Born: s.born}
 	now := time.Now()
 	router.table.SetList(now, now, []placement.Server{first})
 	// The other server is listed once the first one has got the request.
@@ -155,16 +160,16 @@
 		"another at its address":     func(s *unframedServer) { s.crash(); s.restart("other", 77) },
 		"accepts, but doesn't reply": func(s *unframedServer) { s.crash(); s.hang() },
 	}
-	for _, path := range []string{"/stream/x", "/resumable/x", "/once/x", "/repeatable/x"} {
+	for path, service := range unframedPaths {
 		for end, do := range ends {
 			for _, born := range []int64{0, 1} {
 				for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
 					t.Run(fmt.Sprintf("%s, %s, start time %d, pause %v", path[1:], end, born, pause), func(t *testing.T) {
 						s := newUnframedServer(t, "first", born)
 						s.respond(func(path string) string { return unframedBody(path, cutAfter) }, pause, func() { do(s) })
-						status, body, err := newUnframedRouter(t, s).call(path)
+						status, body, err := newUnframedRouter(t, s, service).call(path)
 						switch path {
-						case "/stream/x":
+						case "/stream/x", "/engine/x":
 							require.Equal(t, http.StatusOK, status)
 							require.ErrorIs(t, err, io.ErrUnexpectedEOF, body)
 						case "/once/x":
@@ -182,11 +187,11 @@
 }
 
 func TestWholeResponseWithoutFramingIsComplete(t *testing.T) {
-	for _, path := range []string{"/stream/x", "/resumable/x", "/once/x", "/repeatable/x"} {
+	for path, service := range unframedPaths {
 		for _, born := range []int64{0, 1} {
 			s := newUnframedServer(t, "first", born)
 			s.respond(func(path string) string { return unframedBody(path, wholeEvents) }, 0, func() {})
-			router := newUnframedRouter(t, s)
+			router := newUnframedRouter(t, s, service)
 			status, body, err := router.call(path)
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, status)
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -15,6 +15,7 @@
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/queueing"
 	"bronzerill/internal/router/server"
+	"bronzerill/internal/wire/httpabort"
 )
 
 // Limits of one request.
@@ -127,7 +128,7 @@
 // endCanceled ends a request whose caller has disconnected.
 func (e *exchange) endCanceled() {
 	e.logOutcome(bronzerill.KindCanceled, 0)
-	panic(http.ErrAbortHandler)
+	httpabort.Abort(e.r)
 }
 
 // endFailed ends a request that can't be retried. It forwards the server's error
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -16,6 +16,7 @@
 	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
+	"bronzerill/internal/wire/httpabort"
 )
 
 // maxBody is the maximum size of a request or response body, in bytes.
@@ -257,7 +258,7 @@
 	e.logOutcome(kind, 0)
 	if kind == bronzerill.KindCanceled {
 		// The caller has disconnected.
-		panic(http.ErrAbortHandler)
+		httpabort.Abort(e.r)
 	}
 	e.cfg.Dialect.WriteError(e.w, kind, retryAfter)
 }
@@ -267,7 +268,7 @@
 func (e *exchange) abortResponse(kind bronzerill.Kind) {
 	metrics.Failed(kind)
 	e.logOutcome(kind, 0)
-	panic(http.ErrAbortHandler)
+	httpabort.Abort(e.r)
 }
 
 // logAttempt logs why an attempt failed.
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -24,6 +24,7 @@
 	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
+	"bronzerill/internal/wire/httpabort"
 )
 
 // testStatusPath is the path of the servers' status.
@@ -146,13 +147,15 @@
 			Resumable: name == "resumable", Public: name == "public",
 		}
 	}
+	engine := route("engine", declared.Stream, 1)
+	engine.Targets = []declared.Target{{Service: "engine", Weight: 1}}
 	state := declared.NewTable(declared.Document{
 		Number: 1, RequiresKey: true,
 		Routes: []declared.Route{
 			route("once", declared.Once, 1), route("repeatable", declared.Repeatable, 2), route("stream", declared.Stream, 1),
-			route("resumable", declared.Stream, 2), route("public", declared.Once, 1),
+			route("resumable", declared.Stream, 2), route("public", declared.Once, 1), engine,
 		},
-		Services:  []declared.Service{{Name: "desk"}},
+		Services:  []declared.Service{{Name: "desk"}, {Name: "engine", Engine: &declared.Engine{Slots: 6}}},
 		Customers: []declared.Customer{{Name: "agency", Keys: []string{"key"}}},
 	}, nil)
 	handler := NewHandler(Config{
@@ -160,7 +163,9 @@
 		Streams: router.streams, Routes: func() *declared.Table { return state }, Clock: time.Now,
 		Log: hclog.New(&hclog.LoggerOptions{Name: "a", JSONFormat: true, Output: router.logged}),
 	})
-	router.frontend = httptest.NewServer(handler)
+	router.frontend = httptest.NewUnstartedServer(handler)
+	router.frontend.Config.ConnContext = httpabort.ConnContext
+	router.frontend.Start()
 	t.Cleanup(router.frontend.Close)
 	return router
 }
--- a/internal/run/router/web.go
+++ b/internal/run/router/web.go
@@ -11,6 +11,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"bronzerill/internal/wire/httpabort"
 )
 
 // Limits of the HTTP ports.
@@ -72,6 +74,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnContext:       httpabort.ConnContext,
 		ErrorLog:          log.New(errorWriter{r.log.Named(key)}, "", 0),
 	}
 	if key == "router.callers" {
