--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -189,6 +189,9 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("export cache: engine returned %s", response.Status)
 	}
+	if !httpheader.IsFramed(response) {
+		return nil, errors.New("export cache: engine states no length")
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxCacheBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read cache")
--- a/internal/agent/engine/runner.go
+++ b/internal/agent/engine/runner.go
@@ -17,6 +17,7 @@
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/httpheader"
 )
 
 // Parameters of a run.
@@ -114,7 +115,7 @@
 	if strings.HasPrefix(contentType, "text/event-stream") {
 		return r.copyEvents(ctx, o, id, generation, response, sink)
 	}
-	return r.copyBody(o, response, contentType, sink)
+	return r.copyBody(ctx, o, generation, response, contentType, sink)
 }
 
 // transportError returns KindUnreachable if no connection was made, so that the
@@ -131,7 +132,7 @@
 	return bronzerill.Errorf(bronzerill.KindServerFailed, "engine: %v", err)
 }
 
-func (r *Runner) copyBody(o exchange.Open, response *http.Response, contentType string, sink entry.Sink) error {
+func (r *Runner) copyBody(ctx context.Context, o exchange.Open, generation string, response *http.Response, contentType string, sink entry.Sink) error {
 	sink.WriteHead(response.StatusCode, contentType, false, false)
 	buffer := make([]byte, copyBytes)
 	n, err := io.CopyBuffer(writerOnly{sink}, io.LimitReader(response.Body, maxResponseBytes+1), buffer)
@@ -140,6 +141,8 @@
 		return bronzerill.Errorf(bronzerill.KindServerFailed, "response is incomplete: %v", err)
 	case n > maxResponseBytes:
 		return bronzerill.Errorf(bronzerill.KindTruncated, "response exceeds %d bytes", maxResponseBytes)
+	case !httpheader.IsFramed(response) && !r.isSameProcess(ctx, generation):
+		return bronzerill.Errorf(bronzerill.KindServerFailed, "response ended with its connection, and perhaps with the engine")
 	}
 	if response.StatusCode == http.StatusOK && o.Chat != "" {
 		r.chatIndex.recordServed(r.cfg.Clock(), o.Customer+"/"+o.Chat)
@@ -200,13 +203,19 @@
 		return cause
 	}
 	// The process is asked for after it has answered, so it can't be replaced in between.
-	if load, err := r.cfg.Client.Load(ctx); err != nil || load.Generation != generation {
+	if !r.isSameProcess(ctx, generation) {
 		return cause
 	}
 	metrics.Count(metrics.EventEngineResume)
 	return e.copy(response.Body)
 }
 
+// isSameProcess reports whether the engine's process is the one of the generation.
+func (r *Runner) isSameProcess(ctx context.Context, generation string) bool {
+	load, err := r.cfg.Client.Load(ctx)
+	return err == nil && load.Generation == generation
+}
+
 // recordWarmth updates the chat index after a complete response. It begins a
 // cold start after missesToCold cache misses in a row of chats expected to be
 // warm.
--- a/internal/agent/service/client.go
+++ b/internal/agent/service/client.go
@@ -112,7 +112,12 @@
 // it, which would be a second call.
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+// readReply reads a reply. A service has no report that tells its processes apart, so a reply that
+// ends with its connection may be cut off.
 func readReply(response *http.Response) (state.Reply, error) {
+	if !httpheader.IsFramed(response) {
+		return state.Reply{}, bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "service reply has neither a length nor chunks")
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return state.Reply{}, bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "service reply is incomplete: %v", err)
--- a/internal/agent/service/client_test.go
+++ b/internal/agent/service/client_test.go
@@ -127,3 +127,18 @@
 		})
 	}
 }
+
+func TestUnframedReplyIsNotComplete(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 201 Created\r\n\r\n{\"carriage\":")
+		_ = conn.Close()
+	}))
+	defer server.Close()
+	client := NewClient(ClientConfig{Base: server.URL, Clock: time.Now})
+	_, err := client.Do(t.Context(), open("key", "r1", "1"))
+	require.Equal(t, bronzerill.KindOutcomeUnknown, bronzerill.KindOf(err), "%v", err)
+}
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"syscall"
 	"time"
 
@@ -14,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bronzerill"
+	"bronzerill/internal/wire/httpheader"
 )
 
 // Call is one request to one server.
@@ -154,7 +154,7 @@
 		reusable:      !response.Close && response.ProtoAtLeast(1, 1),
 		reusableUntil: idleDeadline(c.cfg.Clock(), response.Header),
 	}
-	framed := response.ContentLength >= 0 || isChunked(response) || response.Body == http.NoBody
+	framed := httpheader.IsFramed(response)
 	body.reusable = body.reusable && framed
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: body,
@@ -162,15 +162,6 @@
 	}, nil
 }
 
-func isChunked(response *http.Response) bool {
-	for _, coding := range response.TransferEncoding {
-		if strings.EqualFold(coding, "chunked") {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Client) connect(ctx context.Context, call Call) (conn *clientConn, isNew bool, err error) {
 	maxIdleFor := maxIdleTime
 	if call.FreshConn {
