--- a/internal/agent/engine/runner.go
+++ b/internal/agent/engine/runner.go
@@ -210,10 +210,10 @@
 	return e.copy(response.Body)
 }
 
-// isSameProcess reports whether the engine's process is the one of the generation.
+// isSameProcess reports whether the engine's process is known to be the one of the generation.
 func (r *Runner) isSameProcess(ctx context.Context, generation string) bool {
 	load, err := r.cfg.Client.Load(ctx)
-	return err == nil && load.Generation == generation
+	return err == nil && generation != "" && load.Generation == generation
 }
 
 // recordWarmth updates the chat index after a complete response. It begins a
--- a/internal/agent/engine/unframed_test.go
+++ b/internal/agent/engine/unframed_test.go
@@ -64,3 +64,8 @@
 	_, err := unframedEngine(t, "1", false).cfg.Client.ExportCache(t.Context(), "family-7")
 	require.Error(t, err)
 }
+
+func TestEngineWithoutGenerationIsNoKnownProcess(t *testing.T) {
+	err := unframedEngine(t, "", false).Run(t.Context(), chatOpen("r1", nil), &sink{})
+	require.Equal(t, bronzerill.KindServerFailed, bronzerill.KindOf(err), "%v", err)
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -149,6 +149,7 @@
 mutant "stated: agents ignore engines that leave" $A/admission/gate.go 's/g\.draining \|\| g\.leaving \|\| v\.Leaving/g.draining || v.Leaving/' $A/admission TestAdmit
 
 mutant "unframed: agents take a closed connection for the end of a response" $A/engine/runner.go 's/case !httpheader\.IsFramed\(response\) \&\& /case false \&\& /' $A/engine TestUnframedResponse
+mutant "unframed: engines without a generation count as the same process" $A/engine/runner.go 's/generation != "" \&\& //' $A/engine TestEngineWithoutGeneration
 mutant "unframed: agents hand over a cut-off cache" $A/engine/client.go 's/if !httpheader\.IsFramed\(response\) \{/if false {/' $A/engine TestUnframedCache
 mutant "unframed: agents take a cut-off reply of a service" $A/service/client.go 's/if !httpheader\.IsFramed\(response\) \{/if false {/' $A/service TestUnframedReply
 
