--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -17,6 +17,7 @@
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/httpabort"
 )
 
 // Paths of the API.
@@ -77,7 +78,9 @@
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), timeout)
 		defer cancel()
-		s.forward(ctx, w, id, request)
+		if err := s.forward(ctx, w, id, request); err != nil {
+			httpabort.Abort(r)
+		}
 	}
 }
 
@@ -178,22 +181,23 @@
 	return policy, nil
 }
 
-func (s *Server) forward(ctx context.Context, w http.ResponseWriter, id string, request agent.Request) {
+// forward returns an error if the response must be aborted, so that the caller sees that it is
+// incomplete.
+func (s *Server) forward(ctx context.Context, w http.ResponseWriter, id string, request agent.Request) error {
 	out := &output{writer: w, controller: http.NewResponseController(w), clock: s.cfg.Clock, startedAt: s.cfg.Clock()}
 	out.signHint = func(server string) string { return s.hintSigner.sign(request.Open.Customer, request.Open.Chat, server) }
 	err := s.cfg.Forwarder.Do(ctx, request, out)
 	if err == nil {
 		metrics.Count(metrics.EventResponse)
-		return
+		return nil
 	}
 	if !out.headSent {
 		s.refuse(w, id, err)
-		return
+		return nil
 	}
 	metrics.Failed(bronzerill.KindOf(err))
 	s.cfg.Log.Warn("response aborted", "request", id, "kind", bronzerill.KindOf(err).String(), "error", err.Error())
-	// Abort the connection, so that the caller sees that the response is incomplete.
-	panic(http.ErrAbortHandler)
+	return err
 }
 
 func (s *Server) refuse(w http.ResponseWriter, id string, err error) {
--- a/internal/entry/caller/server_test.go
+++ b/internal/entry/caller/server_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +22,7 @@
 	"bronzerill/internal/entry/agent"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/httpabort"
 )
 
 var now = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -70,8 +74,10 @@
 		Forwarder: f, View: func() *control.View { return view }, Clock: func() time.Time { return now },
 		Log: hclog.NewNullLogger(), Secret: "a-secret-for-hints",
 	})
-	web := httptest.NewServer(s.Handler())
+	web := httptest.NewUnstartedServer(s.Handler())
 	web.Config.ErrorLog = hclog.NewNullLogger().StandardLogger(nil)
+	web.Config.ConnContext = httpabort.ConnContext
+	web.Start()
 	t.Cleanup(web.Close)
 	return web.URL
 }
@@ -227,6 +233,18 @@
 	assert.ErrorContains(t, response.err, "unexpected EOF")
 }
 
+// TestTruncatedResponseIsResetForCallersWithoutChunks checks the same for a caller with HTTP/1.0.
+func TestTruncatedResponseIsResetForCallersWithoutChunks(t *testing.T) {
+	f := &fakeForwarder{err: bronzerill.Errorf(bronzerill.KindTruncated, "cut"), truncate: true}
+	conn, err := net.Dial("tcp", strings.TrimPrefix(startServer(t, f, now.Add(time.Minute)), "http://"))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", PathChat, apiKey, len(validChat), validChat)
+	require.NoError(t, err)
+	_, err = io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 func TestErrorBeforeTheHeadGetsAnErrorResponse(t *testing.T) {
 	for _, kind := range bronzerill.Kinds() {
 		f := &fakeForwarder{err: bronzerill.Errorf(kind, "because")}
--- a/internal/run/entry/role.go
+++ b/internal/run/entry/role.go
@@ -19,6 +19,7 @@
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
+	"bronzerill/internal/wire/httpabort"
 )
 
 // Limits of the callers' port and timing of the role.
@@ -85,6 +86,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       httpabort.ConnContext,
 		ErrorLog:          cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	r := &Role{settings: *cfg.Settings.Entry, renewer: renewer, httpServer: httpServer}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -124,7 +124,7 @@
 mutant "router: an unknown stream goes on" $C/version.go 's/if e\.cfg\.Servers\.HasMixedVersions\(e\.start, e\.service\.Name\) \{/if false {/' $C TestResumedStream
 mutant "router: records of streams aren't sent to peers" $O/streams.go 's/s\.router\.gossip\.SendStream\(.*/_ = record/' $O TestStreamIsResumed
 mutant "router: a stream that can't move is given up for a pause" $C/stream.go 's/if mayMove\(\) \{/if mayMove() || true {/' $C TestPausedStream
-mutant "a stream is resumed at another engine process" $A/engine/runner.go 's/load\.Generation == generation/true/' $A/engine TestStreamIsNotResumed
+mutant "a stream is resumed at another engine process" $A/engine/runner.go 's/load\.Generation == generation/(load.Generation == generation || true)/' $A/engine TestStreamIsNotResumed
 mutant "stated: pauses are ignored" $P/backoff.go 's/\{ return now\.Before\(b\.until\) \}/{ return false }/' $P TestPausesOfServersAreKept
 mutant "stated: all requests go out right after a pause" $P/backoff.go 's/if !b\.until\.IsZero\(\) \{/if false {/' $P TestOneRequestAfter
 mutant "stated: a shorter pause ends an earlier one" $P/backoff.go 's/latest\(b\.until, (now\.Add\(min\(pause, httpheader\.MaxRetryAfter\)\))\)/\1/' $P TestPausesAreExtended
@@ -148,7 +148,7 @@
 mutant "stated: agents ignore the pauses of services" $A/service/client.go 's/; wait > 0 \{/; wait > 0 \&\& false {/' $A/service TestServiceGetsNo
 mutant "stated: agents ignore engines that leave" $A/admission/gate.go 's/g\.draining \|\| g\.leaving \|\| v\.Leaving/g.draining || v.Leaving/' $A/admission TestAdmit
 
-mutant "unframed: agents take a closed connection for the end of a response" $A/engine/runner.go 's/case !httpheader\.IsFramed\(response\) \&\& /case false \&\& /' $A/engine TestUnframedResponse
+mutant "unframed: agents take a closed connection for the end of a response" $A/engine/runner.go 's/case !httpheader\.IsFramed\(response\) \&\& /case false \&\& !httpheader.IsFramed(response) \&\& /' $A/engine TestUnframedResponse
 mutant "unframed: engines without a generation count as the same process" $A/engine/runner.go 's/generation != "" \&\& //' $A/engine TestEngineWithoutGeneration
 mutant "unframed: agents hand over a cut-off cache" $A/engine/client.go 's/if !httpheader\.IsFramed\(response\) \{/if false {/' $A/engine TestUnframedCache
 mutant "unframed: agents take a cut-off reply of a service" $A/service/client.go 's/if !httpheader\.IsFramed\(response\) \{/if false {/' $A/service TestUnframedReply
