--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -93,6 +93,8 @@
 		return a.kind
 	case e.runs >= max(1, e.route.MaxAttempts):
 		return a.kind
+	case e.unnumbered:
+		return a.kind
 	case unsent >= maxUnsent, len(e.tried)-unsent >= maxReached:
 		return a.kind
 	}
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -137,6 +137,9 @@
 	origin streamOrigin
 	// lastEventID is the ID of the last complete event sent to the caller.
 	lastEventID string
+	// unnumbered is set if an event without an ID was sent to the caller after lastEventID. The
+	// stream can't go on then, since no server can be told where.
+	unnumbered bool
 	// fingerprint identifies the request when it is sent again.
 	fingerprint placement.Fingerprint
 	// fingerprints holds the fingerprint, followed by the shared parts of the prompt. If
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -97,7 +97,7 @@
 // mayRunAgain reports whether another server may run the request after the given
 // number of runs.
 func (e *exchange) mayRunAgain(runs int) bool {
-	return e.route.MayRepeat() && runs < e.route.MaxAttempts
+	return e.route.MayRepeat() && runs < e.route.MaxAttempts && !e.unnumbered
 }
 
 // mayMove returns a function that reports whether a server that wasn't tried yet could take
@@ -233,6 +233,9 @@
 			return false
 		}
 		s.pending = s.pending[:0]
+		if s.unnumbered {
+			s.timer.reset(0)
+		}
 	}
 	s.pending = append(s.pending, data[complete:]...)
 	return true
@@ -272,6 +275,7 @@
 		if id := parseLastEventID(events); id != "" {
 			e.lastEventID = id
 		}
+		e.unnumbered = endsUnnumbered(events, e.unnumbered)
 	}
 	if _, err := e.w.Write(events); err != nil {
 		return false
@@ -279,6 +283,25 @@
 	return controller.Flush() == nil
 }
 
+// endsUnnumbered reports whether the last of some whole events has no ID. Comments are no
+// events. Without an event, it returns before.
+func endsUnnumbered(events []byte, before bool) bool {
+	blocks := bytes.Split(bytes.ReplaceAll(events, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
+	for _, block := range slices.Backward(blocks) {
+		isEvent := false
+		for line := range bytes.SplitSeq(block, []byte("\n")) {
+			if bytes.HasPrefix(line, []byte("id:")) {
+				return false
+			}
+			isEvent = isEvent || len(line) > 0 && line[0] != ':'
+		}
+		if isEvent {
+			return true
+		}
+	}
+	return before
+}
+
 // parseLastEventID returns the ID of the last event that has one, or an empty string.
 func parseLastEventID(events []byte) string {
 	start := bytes.LastIndex(events, []byte("\nid:"))
--- a/internal/router/caller/stream_test.go
+++ b/internal/router/caller/stream_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -50,6 +51,62 @@
 
 func closeConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// The second server would send the events after the last ID again.
+func TestStreamDoesNotGoOnAfterAnEventWithoutID(t *testing.T) {
+	const unnumbered = "data: a\n\n"
+	for name, events := range map[string]string{
+		"no event has an ID": unnumbered, "after an ID": eventText(1, 3) + unnumbered, "beside a comment": eventText(1, 3) + unnumbered + ": alive\n\n",
+		"with carriage returns": "id: 1\r\ndata: 1\r\n\r\ndata: a\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend := func(w http.ResponseWriter, r *http.Request) {
+				sendEvents(w, r, 1, 0)
+				_, _ = io.WriteString(w, events)
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			router := newTestRouter(t, backend, backend)
+			_, body, err := router.call("/resumable/x")
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			require.Equal(t, events, body)
+		})
+	}
+}
+
+// The pause is longer than the time after which a stream moves to another server.
+func TestPausedStreamWithoutIDsGoesOn(t *testing.T) {
+	pausing := func(w http.ResponseWriter, r *http.Request) {
+		sendEvents(w, r, 1, 0)
+		_, _ = io.WriteString(w, "data: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(2 * minSilence)
+		_, _ = io.WriteString(w, "data: a\n\n")
+	}
+	router := newTestRouter(t, pausing, pausing)
+	router.setVersions("v1", "v1")
+	_, body, err := router.call("/resumable/x")
+	require.NoError(t, err)
+	require.Equal(t, "data: a\n\ndata: a\n\n", body)
+	require.Equal(t, 1, router.totalReceived())
+}
+
+func TestCommentsDoNotKeepAStreamFromGoingOn(t *testing.T) {
+	const comment = ": alive\n\n"
+	backend := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Resume") != "" {
+			sendEvents(w, r, 4, 8)
+			return
+		}
+		sendEvents(w, r, 1, 3)
+		_, _ = io.WriteString(w, comment)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, body, err := newTestRouter(t, backend, backend).call("/resumable/x")
+	require.NoError(t, err)
+	require.Equal(t, eventText(1, 3)+comment+eventText(4, 8), body)
+}
+
 func TestStreamResumesAfterLastCompleteEvent(t *testing.T) {
 	for name, end := range map[string]func(http.ResponseWriter, *http.Request){
 		"connection closed": closeConnection, "silent": neverRespond, "ends inside an event": func(http.ResponseWriter, *http.Request) {},
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -109,6 +109,7 @@
 mutant "router: all routers try a suspect after its quarantine" $P/quarantine.go 's/if t\.isChosenRouter\(uint64\(q\.Suspect\), 1\) \&\& /if /' $P TestOneRouterTries
 mutant "router: response headers aren't bounded" $V/client.go 's/conn\.limited\.remaining = maxHeadBytes/conn.limited.remaining = unlimited/' $V TestResponseWithoutEnd
 mutant "router: events aren't bounded" $C/stream.go 's/case s\.scanner\.open > maxEventBytes:/case false:/' $C TestEventWithoutEnd
+mutant "router: streams go on after events without an ID" $C/stream.go 's/e\.unnumbered = endsUnnumbered\(events, e\.unnumbered\)/_ = endsUnnumbered/' $C TestStreamDoesNotGoOnAfter
 mutant "router: single bytes count as progress" $C/stream.go 's/if complete > 0 \{/if true {/' $C TestStalledStream
 mutant "router: an unframed response of a crashed server counts as complete" $C/unframed.go 's/if response\.Framed \{/if true {/' $C 'TestUnframedResponse|TestCutOffResponse'
 mutant "router: any answer at the address vouches for an unframed response" $C/unframed.go 's/do = witness\.Do/_ = witness/' $C TestCutOffResponse
