--- a/internal/router/placement/version_test.go
+++ b/internal/router/placement/version_test.go
@@ -75,6 +75,40 @@
 	require.Equal(t, bronzerill.KindVersionGone, bronzerill.KindOf(err))
 }
 
+func TestVersionIsNotGoneByAListThatMayLackIt(t *testing.T) {
+	tests := []struct {
+		name string
+		list []Server
+		age  time.Duration
+		want bronzerill.Kind
+	}{
+		{"another version", withVersions("v1"), 0, bronzerill.KindVersionGone},
+		{"another version, by an old list", withVersions("v1"), 3 * time.Second, bronzerill.KindNoServer},
+		{"empty list", nil, 0, bronzerill.KindNoServer},
+		{"other services only", list("desk", 1), 0, bronzerill.KindNoServer},
+		{"unknown version", withVersions(""), 0, bronzerill.KindNoServer},
+	}
+	for _, test := range tests {
+		table := newTable("a", test.list)
+		q := query(engineService, 7)
+		q.Version = Server{Service: "guides", Version: "v2"}.VersionKey()
+		_, err := table.Pick(start.Add(test.age), q)
+		require.Equal(t, test.want.String(), bronzerill.KindOf(err).String(), test.name)
+	}
+}
+
+// A stream can't move between servers whose versions nobody knows.
+func TestUnknownVersionsAreNotTheSame(t *testing.T) {
+	one, other := Server{ID: "1", Service: "guides"}, Server{ID: "2", Service: "guides"}
+	restarted := one
+	restarted.Born = 5
+	require.NotEqual(t, one.VersionKey(), other.VersionKey())
+	require.NotEqual(t, one.VersionKey(), restarted.VersionKey())
+	require.Equal(t, one.VersionKey(), one.VersionKey())
+	table := newTable("a", []Server{one, other})
+	require.True(t, table.HasMixedVersions(start, "guides"))
+}
+
 func TestVersionKeyTellsServicesApart(t *testing.T) {
 	a, b := Server{Service: "a", Version: "v1"}, Server{Service: "b", Version: "v1"}
 	require.NotEqual(t, a.VersionKey(), b.VersionKey())
