--- a/internal/router/placement/version.go
+++ b/internal/router/placement/version.go
@@ -11,9 +11,17 @@
 // servers of different versions generate can't be combined in one stream.
 type VersionKey uint32
 
-// VersionKey returns the key of the server's version. It is never 0.
+// VersionKey returns the key of the server's version. It is never 0. A server whose version is
+// unknown has a key of its own.
 func (s Server) VersionKey() VersionKey {
-	return VersionKey(max(1, uint32(xxhash.Sum64String(s.Service+"\x00"+s.Version))))
+	if s.Version == "" {
+		return versionKeyOf(s.Service, "\x00"+s.process())
+	}
+	return versionKeyOf(s.Service, s.Version)
+}
+
+func versionKeyOf(service, version string) VersionKey {
+	return VersionKey(max(1, uint32(xxhash.Sum64String(service+"\x00"+version))))
 }
 
 // ServiceKey is a short hash of the name of a service, used in digests.
@@ -38,13 +46,10 @@
 }
 
 // noteVersions records which services have servers of more than one version, in this list
-// or between the previous one and this. Servers of unknown versions don't count.
+// or between the previous one and this.
 func (t *Table) noteVersions(now time.Time, list []Server) {
 	versions := make(map[ServiceKey]VersionKey, len(t.versions))
 	for _, s := range list {
-		if s.Version == "" {
-			continue
-		}
 		service, version := serviceKeyOf(s.Service), s.VersionKey()
 		before, listed := versions[service]
 		if !listed {
