--- a/internal/router/placement/leaving_test.go
+++ b/internal/router/placement/leaving_test.go
@@ -120,7 +120,9 @@
 	choice, err := table.Pick(start, q)
 	require.NoError(t, err)
 	table.SetStatedLeaving(start, choice)
-	_, err = table.Pick(start.Add(time.Minute), q)
+	later := start.Add(time.Minute)
+	table.SetList(later, later, servers)
+	_, err = table.Pick(later, q)
 	require.Equal(t, bronzerill.KindVersionGone, bronzerill.KindOf(err))
 }
 
--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -75,7 +75,7 @@
 	defer t.mu.Unlock()
 	t.sumPeers(now)
 	candidates := t.candidates(now, q)
-	if len(candidates) == 0 && q.Version != 0 && !t.hasVersion(now, q) {
+	if len(candidates) == 0 && q.Version != 0 && t.isVersionGone(now, q) {
 		return Choice{}, bronzerill.Errorf(bronzerill.KindVersionGone, "no server of %s has the version of the stream", q.Service.Name)
 	}
 	if len(candidates) == 0 {
--- a/internal/router/placement/version.go
+++ b/internal/router/placement/version.go
@@ -103,15 +103,24 @@
 	}
 }
 
-// hasVersion reports whether a server of the query's version is listed that takes requests, or
-// the last ones.
-func (t *Table) hasVersion(now time.Time, q Query) bool {
+// maxListAge is the age up to which a list shows that a version is gone.
+const maxListAge = 2 * time.Second
+
+// isVersionGone reports whether the service has servers, and none of them is of the query's
+// version and takes requests, or the last ones. Without a recent list, or if the versions of
+// servers are unknown, it may have some.
+func (t *Table) isVersionGone(now time.Time, q Query) bool {
+	others := false
 	for _, r := range t.servers {
-		if r.Service == q.Service.Name && r.VersionKey() == q.Version && (r.acceptsRequests() || r.acceptsLastRequests(now)) {
-			return true
+		if r.Service != q.Service.Name || !r.acceptsRequests() && !r.acceptsLastRequests(now) {
+			continue
+		}
+		if r.Version == "" || r.VersionKey() == q.Version {
+			return false
 		}
+		others = true
 	}
-	return false
+	return others && now.Sub(t.listAt) < maxListAge
 }
 
 // HasOther reports whether another server than those excluded could take the request now.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -123,6 +123,7 @@
 mutant "router: a router that has just started counts those it knows" $P/table.go 's/max\(count, len\(names\)\)/len(names)/' $P TestRouterThatJust
 mutant "router: a stream goes on at any version" $P/pick.go 's/if q\.Version != 0 \&\& r\.VersionKey\(\) != q\.Version \{/if false {/' $C 'TestBrokenStreamGoes|TestCallerResumes'
 mutant "router: servers of unknown versions are of one version" $P/version.go 's/if s\.Version == "" \{/if false {/' $P TestUnknownVersions
+mutant "router: a version is gone by an old list" $P/version.go 's/return others \&\& now\.Sub\(t\.listAt\) < maxListAge/return true/' $P TestVersionIsNotGone
 mutant "router: an unknown stream goes on" $C/version.go 's/if e\.cfg\.Servers\.HasMixedVersions\(e\.start, e\.service\.Name\) \{/if false {/' $C TestResumedStream
 mutant "router: records of streams aren't sent to peers" $O/streams.go 's/s\.router\.gossip\.SendStream\(.*/_ = record/' $O TestStreamIsResumed
 mutant "router: a stream that can't move is given up for a pause" $C/stream.go 's/if mayMove\(\) \{/if mayMove() || true {/' $C TestPausedStream
