--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -29,6 +29,9 @@
 	Expire       *Expire        `msgpack:"ex,omitempty"`
 	Declare      *Declare       `msgpack:"dc,omitempty"`
 	SetZone      *SetZone       `msgpack:"sz,omitempty"`
+	// NoteVersions and ForgetVersion are unknown to earlier builds, which ignore them.
+	NoteVersions  *NoteVersions  `msgpack:"nv,omitempty"`
+	ForgetVersion *ForgetVersion `msgpack:"fv,omitempty"`
 }
 
 // Encode returns the encoding of the command for the log.
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -33,6 +33,9 @@
 	generations map[string]uint64
 	promises    map[string]Promise
 	declared    declared.State
+	// versions holds the versions of servers at which streams may have begun, and the log index
+	// at which each was noted last.
+	versions map[ServiceVersion]uint64
 }
 
 // snapshot is the encoded form of a Machine. The names of its fields are part of
@@ -46,6 +49,7 @@
 	Generations  map[string]uint64
 	Promises     map[string]Promise
 	Declared     declared.State
+	Versions     []NotedVersion
 }
 
 // NewMachine returns a machine with an empty state.
@@ -56,6 +60,7 @@
 		outcomes:    make(map[uint64]bronzerill.Outcome),
 		generations: make(map[string]uint64),
 		promises:    make(map[string]Promise),
+		versions:    make(map[ServiceVersion]uint64),
 	}
 }
 
@@ -185,6 +190,10 @@
 		return m.applyDeclare(index, *c.Declare)
 	case c.SetZone != nil:
 		return m.applySetZone(index, *c.SetZone)
+	case c.NoteVersions != nil:
+		return m.applyNoteVersions(index, *c.NoteVersions)
+	case c.ForgetVersion != nil:
+		return m.applyForgetVersion(*c.ForgetVersion)
 	}
 	return Result{Kind: bronzerill.KindInternal, Detail: "command is empty"}
 }
@@ -313,6 +322,7 @@
 		Generations:  maps.Clone(m.generations),
 		Promises:     maps.Clone(m.promises),
 		Declared:     m.declared,
+		Versions:     m.versionList(),
 	}
 	return func() ([]byte, error) {
 		s.Config = config.DeltaSince(0)
@@ -338,6 +348,9 @@
 	for _, o := range s.Outcomes {
 		restored.addOutcome(o)
 	}
+	for _, version := range s.Versions {
+		restored.versions[version.ServiceVersion] = version.Noted
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.config = restored.config
@@ -348,6 +361,7 @@
 	m.generations = orEmpty(s.Generations)
 	m.promises = orEmpty(s.Promises)
 	m.declared = s.Declared
+	m.versions = restored.versions
 	return nil
 }
 
--- a/internal/router/caller/cutoff_test.go
+++ b/internal/router/caller/cutoff_test.go
@@ -138,7 +138,7 @@
 		respond(http.StatusOK, unframedBody(r.URL.Path, wholeEvents))(w, r)
 	}
 	router := newTestRouter(t, other)
-	first := placement.Server{ID: s.id, Service: service, Addr: s.addr, Slots: 6, Born: s.born, Version: "v1"}
+	first := placement.Server{ID: s.id, Service: service, Addr: s.addr, Slots: 6, Born: s.born, Version: "v1", Noted: true}
 	now := time.Now()
 	router.table.SetList(now, now, []placement.Server{first})
 	// The other server is listed once the first one has got the request.
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -201,6 +201,7 @@
 		},
 		Affinity:  e.request.Affinity(),
 		Version:   e.version.get(),
+		OnlyNoted: e.route.Kind == declared.Stream && e.route.Resumable && e.version.get() == 0,
 		Excluded:  e.tried,
 		MayRepeat: e.route.MayRepeat(),
 		ZoneOut:   e.table.IsZoneOut,
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -47,6 +47,9 @@
 	Began(now time.Time, request string, version placement.VersionKey)
 	// Version returns the version at which a stream began, if it is known.
 	Version(ctx context.Context, now time.Time, request string) (placement.VersionKey, bool)
+	// SoleVersion returns the version of a service's servers, if streams can't have begun at
+	// any other before the call.
+	SoleVersion(ctx context.Context, service string) (placement.VersionKey, bool)
 }
 
 // Maximum log lines per second. A router is planned for 58 requests per second, its
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -124,7 +124,7 @@
 }
 
 func newTestRouter(t *testing.T, backends ...http.HandlerFunc) *testRouter {
-	router := &testRouter{t: t, logged: &logBuffer{}, streams: &memoryStreams{}, table: placement.NewTable(placement.Config{Name: "a", Seed: 1})}
+	router := &testRouter{t: t, logged: &logBuffer{}, streams: &memoryStreams{sole: "v1"}, table: placement.NewTable(placement.Config{Name: "a", Seed: 1})}
 	for i, backend := range backends {
 		received := new(atomic.Int32)
 		backendServer := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -135,7 +135,7 @@
 		}))
 		t.Cleanup(backendServer.Close)
 		router.received = append(router.received, received)
-		router.servers = append(router.servers, placement.Server{ID: fmt.Sprint(i), Service: "desk", Addr: backendServer.Listener.Addr().String(), Slots: 6, Version: "v1"})
+		router.servers = append(router.servers, placement.Server{ID: fmt.Sprint(i), Service: "desk", Addr: backendServer.Listener.Addr().String(), Slots: 6, Version: "v1", Noted: true})
 	}
 	now := time.Now()
 	router.table.SetLimits(placement.Limits{RetryRatio: 0.2, RetrySlack: 62})
--- a/internal/router/caller/version.go
+++ b/internal/router/caller/version.go
@@ -25,14 +25,15 @@
 	originNone streamOrigin = iota
 	// originRecorded means that a record of the stream was found.
 	originRecorded
-	// originAssumed means that no record was found, and the service has one version.
-	originAssumed
-	// originUnknown means that no record was found, and the service has had several
+	// originSole means that no record was found, but streams of the service began at one
+	// version only.
+	originSole
+	// originUnknown means that no record was found, and streams may have begun at several
 	// versions.
 	originUnknown
 )
 
-var originNames = [...]string{"none", "recorded", "assumed", "unknown"}
+var originNames = [...]string{"none", "recorded", "sole-version", "unknown"}
 
 // String returns the name of the origin in logs.
 func (o streamOrigin) String() string { return originNames[o] }
@@ -60,13 +61,22 @@
 			return bronzerill.KindNone
 		}
 	}
-	if e.cfg.Servers.HasMixedVersions(e.start, e.service.Name) {
-		e.origin = originUnknown
-		return bronzerill.KindUnknownStream
+	if version, found := e.findSoleVersion(); found {
+		e.version.set(version)
+		e.origin = originSole
+		metrics.Count(metrics.EventResumedSole)
+		return bronzerill.KindNone
+	}
+	e.origin = originUnknown
+	return bronzerill.KindUnknownStream
+}
+
+// findSoleVersion returns the version at which a stream without a record must have begun.
+func (e *exchange) findSoleVersion() (placement.VersionKey, bool) {
+	if !e.route.HasSoleService() || e.cfg.Servers.HasMixedVersions(e.start, e.service.Name) {
+		return 0, false
 	}
-	e.origin = originAssumed
-	metrics.Count(metrics.EventResumedAssumed)
-	return bronzerill.KindNone
+	return e.cfg.Streams.SoleVersion(e.r.Context(), e.service.Name)
 }
 
 // recordVersion binds the stream to the version of the server that sends its first event.
--- a/internal/router/caller/version_test.go
+++ b/internal/router/caller/version_test.go
@@ -35,7 +35,11 @@
 }
 
 // memoryStreams holds the records of one router, or of several that share them.
-type memoryStreams struct{ versions sync.Map }
+type memoryStreams struct {
+	versions sync.Map
+	// sole is the only version at which streams began, empty if the history can't be read.
+	sole string
+}
 
 var _ Streams = (*memoryStreams)(nil)
 
@@ -51,6 +55,11 @@
 	return version.(placement.VersionKey), true
 }
 
+// SoleVersion returns the field sole.
+func (m *memoryStreams) SoleVersion(_ context.Context, service string) (placement.VersionKey, bool) {
+	return placement.Server{Service: service, Version: m.sole}.VersionKey(), m.sole != ""
+}
+
 // setVersions lists the servers with these versions. A server without one isn't listed.
 func (router *testRouter) setVersions(versions ...string) {
 	var servers []placement.Server
@@ -205,6 +214,30 @@
 	}
 }
 
+func TestUnknownStreamIsRefusedWithoutAHistory(t *testing.T) {
+	router := newTestRouter(t, versionedBackend("v1", false))
+	status, body, err := router.resume("other", "7")
+	require.NoError(t, err)
+	require.Equal(t, 200, status, body)
+	router.streams.sole = ""
+	status, body, err = router.resume("other", "7")
+	require.NoError(t, err)
+	require.Equal(t, 503, status)
+	require.Equal(t, "unknown-stream", body)
+	require.EqualValues(t, 1, router.totalReceived())
+}
+
+// The sole version in the history isn't the one in the list.
+func TestUnknownStreamGoesOnOnlyAtTheSoleVersion(t *testing.T) {
+	router := newTestRouter(t, versionedBackend("v1", false))
+	router.streams.sole = "v0"
+	status, body, err := router.resume("other", "7")
+	require.NoError(t, err)
+	require.Equal(t, 503, status)
+	require.Equal(t, "version-gone", body)
+	require.Zero(t, router.totalReceived())
+}
+
 // The pause is longer than the time after which a stream moves to another server.
 func TestPausedStreamGoesOnWithoutAnotherServer(t *testing.T) {
 	pausing := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/router/declared/document.go
+++ b/internal/router/declared/document.go
@@ -71,6 +71,17 @@
 	return r.Kind == Repeatable || r.Kind == Stream && r.Resumable
 }
 
+// HasSoleService reports whether all requests of the route go to one service.
+func (r Route) HasSoleService() bool {
+	services := 0
+	for _, target := range r.Targets {
+		if target.Weight > 0 {
+			services++
+		}
+	}
+	return services == 1
+}
+
 // Service is a set of identical backend servers.
 type Service struct {
 	Name       string
--- a/internal/router/peer/call.go
+++ b/internal/router/peer/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bronzerill"
+	"bronzerill/internal/control/state"
 	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/wire/netrpc"
@@ -82,6 +83,16 @@
 // StreamReply carries the version at which a stream began. It is 0 if unknown.
 type StreamReply struct{ Version placement.VersionKey }
 
+// VersionsRequest asks the leader for a linearizable read of the noted versions.
+type VersionsRequest struct{}
+
+// VersionsReply carries the noted versions.
+type VersionsReply struct {
+	Kind     bronzerill.Kind
+	Detail   string
+	Versions []state.NotedVersion
+}
+
 // BootstrapRequest asks for permission to bootstrap the control group.
 type BootstrapRequest struct{ Name, Addr string }
 
@@ -98,6 +109,7 @@
 	GrantBootstrap(r BootstrapRequest) bool
 	Directory(now time.Time) placement.DirectorySnapshot
 	StreamVersion(stream StreamKey) (placement.VersionKey, bool)
+	Versions(ctx context.Context) ([]state.NotedVersion, error)
 }
 
 // RPC serves a Handler over net/rpc, which calls its methods by name.
@@ -182,6 +194,16 @@
 	return nil
 }
 
+// Versions replies with the noted versions.
+func (r *RPC) Versions(_ *VersionsRequest, out *VersionsReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), CallTimeout)
+	defer cancel()
+	var err error
+	out.Versions, err = r.handler.Versions(ctx)
+	out.Kind, out.Detail = encodeError(err)
+	return nil
+}
+
 // Found grants one replica permission to bootstrap the control group. Its name is fixed,
 // since peers call it by name.
 func (r *RPC) Found(in *BootstrapRequest, out *BootstrapReply) error {
--- a/internal/router/placement/pick.go
+++ b/internal/router/placement/pick.go
@@ -19,6 +19,8 @@
 	Affinity uint64
 	// Version restricts the request to servers of one version, unless it is 0.
 	Version VersionKey
+	// OnlyNoted restricts the request to servers whose version is noted.
+	OnlyNoted bool
 	// Excluded holds the IDs of the servers that were already tried.
 	Excluded []string
 	// MayRepeat is set for requests that can safely run twice. They may go to a
@@ -181,7 +183,7 @@
 	var candidates, down, ejected, leaving []*record
 	for _, r := range t.servers {
 		r.observations.advance(now)
-		if !q.matches(r) || r.backoff.wait(now) > 0 {
+		if !q.matches(r) || r.backoff.wait(now) > 0 || q.OnlyNoted && !r.isNoted(now) {
 			continue
 		}
 		switch {
--- a/internal/router/placement/server.go
+++ b/internal/router/placement/server.go
@@ -27,6 +27,9 @@
 	Born int64 `msgpack:"b"`
 	// Version is the version of the server's software. It is empty if unknown.
 	Version string `msgpack:"v"`
+	// Noted is set once the control group's history has the version. Resumable streams begin
+	// at such servers.
+	Noted bool `msgpack:"o"`
 }
 
 // process identifies the process of the server. An ID can be reused.
@@ -113,6 +116,8 @@
 type record struct {
 	Server
 	key ServerKey
+	// listedSince is when this process first knew the server.
+	listedSince time.Time
 	// unlistedAt is when the server was first missing in the list, zero while it is listed.
 	// It gets no requests then.
 	unlistedAt time.Time
--- a/internal/router/placement/table.go
+++ b/internal/router/placement/table.go
@@ -153,7 +153,7 @@
 			known = false
 		}
 		if !known {
-			r = &record{key: KeyOf(s.ID), confirmedUp: first || s.Cold == 0}
+			r = &record{key: KeyOf(s.ID), confirmedUp: first || s.Cold == 0, listedSince: now}
 			if t.servers[s.ID] != nil {
 				// Peers may still report the limit of the previous process.
 				r.limit.statedAt = now
@@ -169,6 +169,8 @@
 			changes = append(changes, StateChange{s, "leaving"})
 		}
 		leaving := known && r.Leaving
+		// Routers of earlier builds pass lists on without this.
+		s.Noted = s.Noted || known && r.Noted && r.Version == s.Version
 		r.Server, r.unlistedAt = s, time.Time{}
 		// A leaving server doesn't come back under its ID.
 		r.Leaving = s.Leaving || leaving
--- a/internal/router/placement/version.go
+++ b/internal/router/placement/version.go
@@ -123,6 +123,17 @@
 	return others && now.Sub(t.listAt) < maxListAge
 }
 
+// maxUnnoted is how long the control group may fail to note the version of a server. The server
+// is used all the same then.
+const maxUnnoted = 3 * time.Second
+
+// isNoted reports whether resumable streams may begin at the server. If they began at versions
+// that the control group doesn't know, it couldn't tell after a loss of all routers that there
+// were several.
+func (r *record) isNoted(now time.Time) bool {
+	return r.Noted || now.Sub(r.listedSince) >= maxUnnoted
+}
+
 // HasOther reports whether another server than those excluded could take the request now.
 func (t *Table) HasOther(now time.Time, q Query) bool {
 	t.mu.Lock()
--- a/internal/router/placement/version_test.go
+++ b/internal/router/placement/version_test.go
@@ -97,6 +97,32 @@
 	}
 }
 
+func TestResumableStreamsBeginAtNotedVersions(t *testing.T) {
+	servers := withVersions("v1", "v2")
+	servers[0].Noted = true
+	table := newTable("a", servers)
+	q := query(engineService, 7)
+	q.OnlyNoted = true
+	pick := func(at time.Duration) map[string]bool {
+		picked := make(map[string]bool)
+		for range 40 {
+			choice, err := table.Pick(start.Add(at), q)
+			if err != nil {
+				require.Equal(t, bronzerill.KindNoServer, bronzerill.KindOf(err))
+				continue
+			}
+			picked[choice.Version] = true
+		}
+		return picked
+	}
+	require.Equal(t, map[string]bool{"v1": true}, pick(0))
+	setReplaced(table, servers[0].ID)
+	require.Empty(t, pick(maxUnnoted-1), "a short wait for the control group")
+	require.Equal(t, map[string]bool{"v2": true}, pick(maxUnnoted), "the group fails")
+	q.OnlyNoted = false
+	require.Equal(t, map[string]bool{"v2": true}, pick(0), "other requests go there at once")
+}
+
 // A stream can't move between servers whose versions nobody knows.
 func TestUnknownVersionsAreNotTheSame(t *testing.T) {
 	one, other := Server{ID: "1", Service: "guides"}, Server{ID: "2", Service: "guides"}
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -288,6 +288,18 @@
 	return g.machine.Declared(), nil
 }
 
+// Versions returns the noted versions by a linearizable read if this router is the leader.
+func (g *group) Versions(ctx context.Context) ([]state.NotedVersion, error) {
+	node, isLeader := g.localLeader(time.Now())
+	if !isLeader {
+		return nil, bronzerill.Errorf(bronzerill.KindNotLeader, "this router is not the leader")
+	}
+	if err := node.AwaitReadIndex(ctx); err != nil {
+		return nil, err
+	}
+	return g.machine.Versions(), nil
+}
+
 // Join adds a replica if this router is the leader.
 func (g *group) Join(ctx context.Context, r peer.JoinRequest) error {
 	node, isLeader := g.localLeader(time.Now())
--- a/internal/run/router/list.go
+++ b/internal/run/router/list.go
@@ -146,7 +146,7 @@
 		p.router.log.Info("list of servers regained", "address", address, "broken-entries", invalid)
 	}
 	// The age counts from the start of the call.
-	p.apply(time.Now(), now, list, "platform")
+	p.apply(time.Now(), now, p.router.versions.withNoted(ctx, list), "platform")
 }
 
 // apply stores a list if it is fresher than the current one, and logs the changes.
--- a/internal/run/router/operator.go
+++ b/internal/run/router/operator.go
@@ -57,6 +57,23 @@
 	})
 }
 
+// NewestVersions returns the noted versions by a linearizable read.
+func (g *group) NewestVersions(ctx context.Context) (versions []state.NotedVersion, err error) {
+	err = g.callLeader(ctx, func() error {
+		var err error
+		versions, err = g.Versions(ctx)
+		return err
+	}, func(addr string) error {
+		var reply peer.VersionsReply
+		if err := g.router.clients.Call(ctx, addr, "Versions", &peer.VersionsRequest{}, &reply); err != nil {
+			return bronzerill.Errorf(bronzerill.KindNoQuorum, "%v", err)
+		}
+		versions = reply.Versions
+		return peer.Err(reply.Kind, reply.Detail)
+	})
+	return versions, err
+}
+
 // Newest returns the newest declared state by a linearizable read.
 func (g *group) Newest(ctx context.Context) (newest declared.State, err error) {
 	err = g.callLeader(ctx, func() error {
--- a/internal/run/router/rejoin_test.go
+++ b/internal/run/router/rejoin_test.go
@@ -50,14 +50,14 @@
 	c.extraServers.Store(entries.String())
 }
 
-// awaitList waits until all routers use a list with these versions.
+// awaitList waits until all routers use a list with these versions, which are noted.
 func (c *rejoinCluster) awaitList(versions ...string) {
 	for i := range c.routers {
 		require.Eventually(c.t, func() bool {
 			var listed []string
 			list, _ := c.routers[i].list.current()
 			for _, s := range list {
-				if s.Service == "chat" {
+				if s.Service == "chat" && s.Noted {
 					listed = append(listed, s.Version)
 				}
 			}
@@ -138,6 +138,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			c := newRejoinCluster(t, test.before...)
 			begun := c.begin(8)
 			c.setVersions(test.atKill...)
@@ -149,6 +150,7 @@
 }
 
 func TestStreamIsResumedAfterAllRoutersWereKilledWithOneVersion(t *testing.T) {
+	t.Parallel()
 	c := newRejoinCluster(t, "v1")
 	begun := c.begin(8)
 	c.killAll("v1")
@@ -160,6 +162,7 @@
 
 // The router has state and a list of one version, but can't know what the others have seen.
 func TestRouterAloneResumesNoUnknownStream(t *testing.T) {
+	t.Parallel()
 	c := newRejoinCluster(t, "v1")
 	known := c.begin(4)
 	for i := range 3 {
--- a/internal/run/router/resume_test.go
+++ b/internal/run/router/resume_test.go
@@ -105,7 +105,9 @@
 	for i := range c.routers {
 		c.awaitStatus(i, "/a/x", 200)
 		require.Eventually(t, func() bool {
-			return c.routers[i].servers.HasMixedVersions(time.Now(), "chat") && c.routers[i].peers.Alive(time.Now()) == 3
+			list, _ := c.routers[i].list.current()
+			noted := !slices.ContainsFunc(list, func(s placement.Server) bool { return !s.Noted })
+			return noted && c.routers[i].servers.HasMixedVersions(time.Now(), "chat") && c.routers[i].peers.Alive(time.Now()) == 3
 		}, waitTimeout, 20*time.Millisecond)
 	}
 	begun := make(map[string]string)
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -60,6 +60,7 @@
 	list         *listPoller
 	directory    *directoryClient
 	streams      *streamRegistry
+	versions     *versionHistory
 	// callerServer is the HTTP server for callers.
 	callerServer *http.Server
 	stopping     atomic.Bool
@@ -145,6 +146,7 @@
 		return nil, err
 	}
 	r.holder.onChange = r.gossip.Trigger
+	r.versions = newVersionHistory(r)
 	r.list = newListPoller(r)
 	r.directory = newDirectoryClient(now, r)
 	r.group = newGroup(r, secret)
@@ -200,6 +202,7 @@
 	tasks.Go(func() error { return r.holder.runCompile(ctx) })
 	tasks.Go(func() error { return r.holder.runFetch(ctx, r) })
 	tasks.Go(func() error { return r.list.run(ctx) })
+	tasks.Go(func() error { return ticker.Every(ctx, noteInterval, r.versions.maintain) })
 	tasks.Go(func() error { return r.directory.run(ctx) })
 	tasks.Go(func() error { return r.savePeers(ctx) })
 	tasks.Go(func() error { return ticker.Every(ctx, maintenanceInterval, r.maintain) })
--- a/internal/run/router/streams.go
+++ b/internal/run/router/streams.go
@@ -62,6 +62,12 @@
 	return 0, false
 }
 
+// SoleVersion returns the version at which all streams of a service began, if there is only
+// one.
+func (s *streamRegistry) SoleVersion(ctx context.Context, service string) (placement.VersionKey, bool) {
+	return s.router.versions.soleVersion(ctx, service)
+}
+
 // ask returns what a peer knows of a stream, or 0.
 func (s *streamRegistry) ask(ctx context.Context, addr string, stream peer.StreamKey) placement.VersionKey {
 	ctx, cancel := context.WithTimeout(ctx, streamLookupTimeout)
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -68,6 +68,8 @@
 	"neighbour.DirectoryReply":   peer.DirectoryReply{},
 	"neighbour.StreamRequest":    peer.StreamRequest{},
 	"neighbour.StreamReply":      peer.StreamReply{},
+	"neighbour.VersionsReply":    peer.VersionsReply{},
+	"neighbour.ListReply.3":      peer.ListReply{},
 	"neighbour.FoundRequest":     peer.BootstrapRequest{},
 	"neighbour.FoundReply":       peer.BootstrapReply{},
 }
@@ -75,6 +77,7 @@
 // packedMessages are stored, or sent in other ways, as msgpack.
 var packedMessages = map[string]any{
 	"state.Command":      state.Command{},
+	"state.Command.2":    state.Command{},
 	"state.Record":       state.Record{},
 	"replica.Entry":      replica.Entry{},
 	"replica.Snapshot":   replica.Snapshot{},
@@ -106,8 +109,17 @@
 	"neighbour.ListReply": func(message any) {
 		for i := range message.(*peer.ListReply).Servers {
 			message.(*peer.ListReply).Servers[i].Version = ""
+			message.(*peer.ListReply).Servers[i].Noted = false
 		}
 	},
+	"neighbour.ListReply.2": func(message any) {
+		for i := range message.(*peer.ListReply).Servers {
+			message.(*peer.ListReply).Servers[i].Noted = false
+		}
+	},
+	"state.Command": func(message any) {
+		message.(*state.Command).NoteVersions, message.(*state.Command).ForgetVersion = nil, nil
+	},
 	"neighbour.Digest+": func(message any) {
 		e := message.(*peer.Extension)
 		e.Routers, e.MixedServices, e.Backoffs = 0, nil, nil
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -123,8 +123,16 @@
 mutant "router: a router that has just started counts those it knows" $P/table.go 's/max\(count, len\(names\)\)/len(names)/' $P TestRouterThatJust
 mutant "router: a stream goes on at any version" $P/pick.go 's/if q\.Version != 0 \&\& r\.VersionKey\(\) != q\.Version \{/if false {/' $C 'TestBrokenStreamGoes|TestCallerResumes'
 mutant "router: servers of unknown versions are of one version" $P/version.go 's/if s\.Version == "" \{/if false {/' $P TestUnknownVersions
-mutant "router: a version is gone by an old list" $P/version.go 's/return others \&\& now\.Sub\(t\.listAt\) < maxListAge/return true/' $P TestVersionIsNotGone
-mutant "router: an unknown stream goes on" $C/version.go 's/if e\.cfg\.Servers\.HasMixedVersions\(e\.start, e\.service\.Name\) \{/if false {/' $C TestResumedStream
+mutant "router: a version is gone by an old list" $P/version.go 's/return others \&\& now\.Sub\(t\.listAt\) < maxListAge/return others || true/' $P TestVersionIsNotGone
+mutant "router: an unknown stream goes on beside another version" $C/version.go 's/ \|\| e\.cfg\.Servers\.HasMixedVersions\(e\.start, e\.service\.Name\) \{/ {/' $C TestResumedStream
+mutant "router: an unknown stream goes on without a history" $C/version.go 's/if version, found := e\.findSoleVersion\(\); found \{/if version, _ := e.findSoleVersion(); true {/' $C 'TestUnknownStreamIsRefused|TestResumedStream'
+mutant "router: an unknown stream goes on at any version" $C/version.go 's/e\.version\.set\(version\)$/_ = version/' $C TestUnknownStreamGoesOn
+mutant "router: an unknown stream goes on by the versions in the list" $O/versions.go 's/if found \|\| version\.Version == "" \{/if false {/' $O TestStreamIsNotResumed
+mutant "router: versions aren't noted before streams begin" $C/exchange.go 's/OnlyNoted: .*/OnlyNoted: false,/' $O TestStreamIsNotResumed
+mutant "router: unnoted versions are used" $P/pick.go 's/ \|\| q\.OnlyNoted \&\& !r\.isNoted\(now\) \{/ {/' $P TestResumableStreamsBegin
+mutant "router: versions are forgotten at once" $O/versions.go 's/versionRetention = time\.Minute/versionRetention = 0/' $O 'TestVersionsExpire'
+mutant "router: a version that is noted again is forgotten" $S/versions.go 's/if m\.versions\[f\.Version\] == f\.Noted \{/if true {/' $S TestNotedVersions
+mutant "router: snapshots lack the noted versions" $S/machine.go 's/m\.versions = restored\.versions/_ = restored.versions/' $S TestNotedVersions
 mutant "router: records of streams aren't sent to peers" $O/streams.go 's/s\.router\.gossip\.SendStream\(.*/_ = record/' $O TestStreamIsResumed
 mutant "router: a stream that can't move is given up for a pause" $C/stream.go 's/if mayMove\(\) \{/if mayMove() || true {/' $C TestPausedStream
 mutant "a stream is resumed at another engine process" $A/engine/runner.go 's/load\.Generation == generation/(load.Generation == generation || true)/' $A/engine TestStreamIsNotResumed
