--- a/internal/router/caller/cutoff_test.go
+++ b/internal/router/caller/cutoff_test.go
@@ -90,7 +90,7 @@
 }
 
 // respond makes the server send a body without framing, pause, call end and close the connection.
-func (s *unframedServer) respond(body func(path string) string, pause time.Duration, end func()) *unframedServer {
+func (s *unframedServer) respond(body func(path string) string, pause time.Duration, end func()) {
 	s.current().Handler = func(status http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == testStatusPath {
@@ -104,7 +104,6 @@
 			})
 		})
 	}(s.current().Handler)
-	return s
 }
 
 // crash ends the process with all its connections but those that send a response.
--- a/internal/router/caller/version.go
+++ b/internal/router/caller/version.go
@@ -16,15 +16,14 @@
 
 func (v *streamVersion) set(key placement.VersionKey) { v.key.Store(uint32(key)) }
 
-// streamOrigin is what a router knows of the version at which a resumed stream began.
+// streamOrigin is what a router knows of the version at which a resumed stream began. It is 0 for
+// requests that resume nothing.
 type streamOrigin int
 
 // Origins of a stream.
 const (
-	// originNone belongs to requests that resume nothing.
-	originNone streamOrigin = iota
 	// originRecorded means that a record of the stream was found.
-	originRecorded
+	originRecorded streamOrigin = iota + 1
 	// originSole means that no record was found, but streams of the service began at one
 	// version only.
 	originSole
--- a/internal/router/caller/version_test.go
+++ b/internal/router/caller/version_test.go
@@ -214,6 +214,25 @@
 	}
 }
 
+func TestOnlyNewResumableStreamsNeedANotedVersion(t *testing.T) {
+	router := newTestRouter(t, versionedBackend("v1", false))
+	router.servers[0].Noted, router.servers[0].ID = false, "new"
+	router.setVersions("v1")
+	router.streams.Began(time.Now(), "first", router.servers[0].VersionKey())
+	status, body, err := router.call("/resumable/x")
+	require.NoError(t, err)
+	require.Equal(t, 503, status)
+	require.Equal(t, "no-server", body)
+	for _, path := range []string{"/stream/x", "/once/x"} {
+		status, _, err = router.call(path)
+		require.NoError(t, err)
+		require.Equal(t, 200, status, path)
+	}
+	status, _, err = router.resume("first", "7")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+}
+
 func TestUnknownStreamIsRefusedWithoutAHistory(t *testing.T) {
 	router := newTestRouter(t, versionedBackend("v1", false))
 	status, body, err := router.resume("other", "7")
--- a/internal/run/router/resume_test.go
+++ b/internal/run/router/resume_test.go
@@ -147,10 +147,3 @@
 		require.Equal(t, version, resumed.versionUpTo(lastEvent))
 	}
 }
-
-// text returns the rest of the body.
-func (s *receivedStream) text() string {
-	data, err := io.ReadAll(s.reader)
-	require.NoError(s.t, err)
-	return string(data)
-}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -128,7 +128,7 @@
 mutant "router: an unknown stream goes on without a history" $C/version.go 's/if version, found := e\.findSoleVersion\(\); found \{/if version, _ := e.findSoleVersion(); true {/' $C 'TestUnknownStreamIsRefused|TestResumedStream'
 mutant "router: an unknown stream goes on at any version" $C/version.go 's/e\.version\.set\(version\)$/_ = version/' $C TestUnknownStreamGoesOn
 mutant "router: an unknown stream goes on by the versions in the list" $O/versions.go 's/if found \|\| version\.Version == "" \{/if false {/' $O TestStreamIsNotResumed
-mutant "router: versions aren't noted before streams begin" $C/exchange.go 's/OnlyNoted: .*/OnlyNoted: false,/' $O TestStreamIsNotResumed
+mutant "router: versions aren't noted before streams begin" $C/exchange.go 's/OnlyNoted: .*/OnlyNoted: false,/' $C TestOnlyNewResumable
 mutant "router: unnoted versions are used" $P/pick.go 's/ \|\| q\.OnlyNoted \&\& !r\.isNoted\(now\) \{/ {/' $P TestResumableStreamsBegin
 mutant "router: versions are forgotten at once" $O/versions.go 's/versionRetention = time\.Minute/versionRetention = 0/' $O 'TestVersionsExpire'
 mutant "router: a version that is noted again is forgotten" $S/versions.go 's/if m\.versions\[f\.Version\] == f\.Noted \{/if true {/' $S TestNotedVersions
