--- a/cmd/bronzerill-soak/callers.go
+++ b/cmd/bronzerill-soak/callers.go
@@ -24,6 +24,7 @@
 	// resumed and notResumed count the streams that broke and were resumed at another
 	// router, or refused there.
 	resumed, notResumed atomic.Int64
+	afterKills          afterKills
 	mu                  sync.Mutex
 	// refusals counts refused requests by reason.
 	refusals map[string]int
@@ -54,7 +55,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return fmt.Sprintf("%d answered, %d refused as not run %v, %d unknown, %d streams resumed, %d not", c.answered.Load(), c.refused.Load(), c.refusals,
-		c.unknown.Load(), c.resumed.Load(), c.notResumed.Load())
+		c.unknown.Load(), c.resumed.Load(), c.notResumed.Load()) + c.afterKills.String()
 }
 
 // run sends requests to random routers until ctx ends.
@@ -110,7 +111,7 @@
 	data, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	if events := completeEvents(string(data)); err != nil && path == "/resumable/" && len(events) > 0 {
-		c.resume(client, router+1, path, id, events)
+		c.resumeUntilServed(client, router+1, path, id, events)
 	}
 	return c.checkResponse(router, path, id, response, string(data), err, wasUp && time.Since(startedAt) < time.Second)
 }
@@ -124,14 +125,31 @@
 	return body[:end+len("\n\n")]
 }
 
+// resumeTime is how long a caller tries to resume a stream, at one router after the other.
+const resumeTime = 5 * time.Second
+
+func (c *callers) resumeUntilServed(client *http.Client, router int, path, first, events string) {
+	brokenAt := time.Now()
+	for ; ; router++ {
+		served := c.resume(client, router%len(c.fleet.nodes), path, first, events)
+		if served || time.Since(brokenAt) > resumeTime {
+			c.afterKills.count(brokenAt, time.Now(), served)
+			if !served {
+				c.notResumed.Add(1)
+			}
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // resume resumes a broken stream at another router and checks that the caller gets a whole
-// stream of one version.
-func (c *callers) resume(client *http.Client, router int, path, first, events string) {
-	router %= len(c.fleet.nodes)
+// stream of one version. It reports whether the stream needn't be resumed again.
+func (c *callers) resume(client *http.Client, router int, path, first, events string) bool {
 	id := c.newID(router)
 	request, err := http.NewRequest(http.MethodPost, "http://"+c.fleet.addr(router, "callers")+path+first, strings.NewReader("body of "+first))
 	if err != nil {
-		return
+		return true
 	}
 	request.GetBody = nil
 	request.Host = "h"
@@ -139,13 +157,13 @@
 	standin.SetResumption(request, first, strings.Count(events, "\n\n"))
 	response, err := client.Do(request)
 	if err != nil {
-		return
+		return false
 	}
 	data, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	switch whole := events + string(data); {
 	case response.StatusCode != http.StatusOK:
-		c.notResumed.Add(1)
+		return false
 	case err != nil:
 		c.unknown.Add(1)
 	case !isExpectedBody(path, first, whole):
@@ -153,6 +171,7 @@
 	default:
 		c.resumed.Add(1)
 	}
+	return true
 }
 
 // checkResponse checks a response against the guarantees and reports whether the
@@ -196,7 +215,7 @@
 	if path == "/once/" || path == "/repeatable/" {
 		return body == "booked "+firstAttempt
 	}
-	return slices.ContainsFunc(versions, func(version string) bool {
+	return slices.ContainsFunc(append(versions, newVersion), func(version string) bool {
 		var expected strings.Builder
 		for event := 1; event <= eventCount; event++ {
 			_, _ = expected.WriteString(eventText(event, firstAttempt, version))
--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -62,6 +62,10 @@
 		}
 		workers.Go(func() error { o.run(callersCtx, rand.New(rand.NewPCG(cfg.seed, 50))); return nil })
 		injectFaults(ctx, cfg, f, w)
+		if err := killAllInTurn(cfg, f, w, c, rand.New(rand.NewPCG(cfg.seed, 4))); err != nil {
+			stopCallers()
+			return nil, "", err
+		}
 		statements := new(errgroup.Group)
 		statements.Go(func() error { w.stateInTurn(rand.New(rand.NewPCG(cfg.seed, 3))); return nil })
 		w.limitServers(rand.New(rand.NewPCG(cfg.seed, 2)))
@@ -91,7 +95,7 @@
 }
 
 // injectFaults injects the seed's faults, some of them at the same time. The kinds 0 to
-// 4 are faults of a router, 5 to 8 of a server, and 9 to 11 of a link.
+// 4 are faults of a router, 5 to 8 and 12 of a server, and 9 to 11 of a link.
 func injectFaults(ctx context.Context, cfg config, f *fleet, w *world) {
 	random := rand.New(rand.NewPCG(cfg.seed, 1))
 	group := new(errgroup.Group)
@@ -100,9 +104,9 @@
 	for end := time.Now().Add(cfg.faultTime); time.Now().Before(end) && ctx.Err() == nil; {
 		n := f.nodes[random.IntN(len(f.nodes))]
 		b := w.backends[random.IntN(len(w.backends))]
-		kind, duration := random.IntN(12), time.Duration(300+random.IntN(1500))*time.Millisecond
+		kind, duration := random.IntN(13), time.Duration(300+random.IntN(1500))*time.Millisecond
 		group.Go(func() error {
-			if kind >= 5 && kind < 9 {
+			if kind >= 5 && kind < 9 || kind == 12 {
 				injectServerFault(kind, w, b, duration)
 				return nil
 			}
@@ -190,7 +194,10 @@
 	return err
 }
 
-// injectServerFault resets, delays or blocks the connections to a server, or marks it
+// crashTime is the maximum time until the next process of a crashed server listens.
+const crashTime = 200 * time.Millisecond
+
+// injectServerFault crashes a server, resets, delays or blocks the connections to a server, or marks it
 // as leaving.
 func injectServerFault(kind int, w *world, b *backend, duration time.Duration) {
 	switch kind {
@@ -206,5 +213,7 @@
 		b.proxy.blocked.Store(0)
 	case 8:
 		w.startLeaving(b, time.Now())
+	case 12:
+		w.crash(b, duration%(crashTime+1))
 	}
 }
--- /dev/null
+++ b/cmd/bronzerill-soak/process.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"bronzerill/platform/standin"
+)
+
+// process is one process of a server. After a crash the next one has the same ID.
+type process struct {
+	http *http.Server
+	id   string
+	// born is the start time, in Unix milliseconds.
+	born  int64
+	ended atomic.Bool
+}
+
+// startProcess starts a process that listens for a server.
+func (w *world) startProcess(b *backend, id string, listener net.Listener) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := &process{id: id, born: time.Now().UnixMilli()}
+	if b.process != nil {
+		p.born = max(p.born, b.process.born+1)
+	}
+	p.http = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(b, p, rw, r) }), ReadHeaderTimeout: time.Second}
+	b.process = p
+	w.cfg.tasks.Go(func() error { _ = p.http.Serve(listener); return nil })
+}
+
+// crash ends the process of a server and starts the next one.
+func (w *world) crash(b *backend, down time.Duration) {
+	w.restart(b, b.currentProcess().id, down)
+}
+
+// replace replaces a server by one of another version, which has another ID.
+func (w *world) replace(b *backend, version string) {
+	b.mu.Lock()
+	same := b.version == version
+	b.version = version
+	b.replaced++
+	id := fmt.Sprintf("%s-%d", b.id, b.replaced)
+	b.mu.Unlock()
+	if !same {
+		w.restart(b, id, 0)
+	}
+}
+
+func (b *backend) currentProcess() *process {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.process
+}
+
+func (w *world) restart(b *backend, id string, down time.Duration) {
+	p := b.currentProcess()
+	p.ended.Store(true)
+	_ = p.http.Close()
+	time.Sleep(down)
+	listener, err := net.Listen("tcp", b.target)
+	if err != nil {
+		w.addViolation("server %s didn't start again: %v", b.id, err)
+		return
+	}
+	w.startProcess(b, id, listener)
+}
+
+// unframedShare is one in how many responses have neither a length nor chunks.
+const unframedShare = 5
+
+// response is where a server writes the body of a response.
+type response struct {
+	io.Writer
+	flush func()
+	// end ends the response properly.
+	end func()
+}
+
+// beginResponse sends the header of a response that was set on rw.
+func beginResponse(rw http.ResponseWriter, id string) (response, error) {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	if h.Sum32()%unframedShare > 0 {
+		return response{rw, func() { _ = http.NewResponseController(rw).Flush() }, func() {}}, nil
+	}
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return response{}, err
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+	_ = rw.Header().Write(conn)
+	_, err = io.WriteString(conn, "\r\n")
+	return response{conn, func() {}, func() { _ = conn.Close() }}, err
+}
+
+// endProcess ends a response as the process that sends it ends. Without framing the caller
+// can't tell that from its proper end.
+func (r response) endProcess() {
+	r.end()
+	panic(http.ErrAbortHandler)
+}
+
+// isStatusRequest answers a query for the status of a server.
+func (p *process) isStatusRequest(rw http.ResponseWriter, r *http.Request) bool {
+	switch {
+	case !standin.IsStatusRequest(r):
+		return false
+	case !standin.IsFor(r, p.id):
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+	default:
+		_, _ = fmt.Fprint(rw, standin.Status(p.born))
+	}
+	return true
+}
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"path"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,10 +21,15 @@
 
 // backend is one stand-in server behind a proxy that injects faults.
 type backend struct {
-	id, service  string
-	httpServer   *http.Server
-	proxy        *proxy
-	mu           sync.Mutex
+	id, service string
+	proxy       *proxy
+	// target is the address at which its processes listen.
+	target  string
+	mu      sync.Mutex
+	process *process
+	// replaced counts the servers that had the address before.
+	replaced     int
+	unlisted     bool
 	leaving      bool
 	leavingSince time.Time
 	// version is the version of the software. Streams of several versions don't fit together.
@@ -83,9 +89,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	b := &backend{id: id, service: service, version: versions[len(w.backends)%len(versions)]}
-	b.httpServer = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(b, rw, r) }), ReadHeaderTimeout: time.Second}
-	w.cfg.tasks.Go(func() error { _ = b.httpServer.Serve(listener); return nil })
+	b := &backend{id: id, service: service, version: versions[0]}
+	if w.cfg.hasMixedVersions() {
+		b.version = versions[len(w.backends)%len(versions)]
+	}
+	b.target = listener.Addr().String()
+	w.startProcess(b, id, listener)
 	b.proxy, err = newProxy(w.cfg, "127.0.0.1:0", listener.Addr().String())
 	return b, err
 }
@@ -104,9 +113,12 @@
 	var servers []placement.Server
 	for i, b := range w.backends {
 		b.mu.Lock()
-		servers = append(servers, placement.Server{
-			ID: b.id, Service: b.service, Addr: b.proxy.addr, Zone: fmt.Sprintf("zone-%d", i%3), Slots: 48, Leaving: b.leaving, Version: b.version,
-		})
+		if !b.unlisted {
+			servers = append(servers, placement.Server{
+				ID: b.process.id, Service: b.service, Addr: b.proxy.addr, Zone: fmt.Sprintf("zone-%d", i%3), Slots: 48, Leaving: b.leaving, Version: b.version,
+				Born: b.process.born,
+			})
+		}
 		b.mu.Unlock()
 	}
 	_, _ = rw.Write(standin.List(servers))
@@ -148,33 +160,48 @@
 	return strconv.FormatUint(h.Sum64(), 16)
 }
 
-// versions are the versions of the engines. All serve side by side.
+// versions are the versions of the engines, which serve side by side or not. newVersion replaces
+// them for a while.
 var versions = []string{"v1", "v2"}
 
+const newVersion = "v3"
+
 // eventText returns an event of a stream, which names the caller's first attempt.
 func eventText(event int, firstAttempt, version string) string {
 	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", event, firstAttempt, version)
 }
 
-// eventCount is the number of events in each stream.
-const eventCount = 12
+// A stream has eventCount events, one in each eventInterval.
+const (
+	eventCount    = 12
+	eventInterval = 15 * time.Millisecond
+	streamTime    = eventCount * eventInterval
+)
 
 // serve handles a request that a server received, and checks that it was meant for this
 // server.
-func (w *world) serve(b *backend, rw http.ResponseWriter, r *http.Request) {
+func (w *world) serve(b *backend, p *process, rw http.ResponseWriter, r *http.Request) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if p.isStatusRequest(rw, r) {
+		return
+	}
 	if standin.IsCacheListRequest(r) {
 		_, _ = io.WriteString(rw, standin.EmptyCacheList)
 		return
 	}
 	id, expected, lastEvent := standin.ReadRequestHeaders(r)
-	if expected != b.id {
-		w.addViolation("request %s for %q reached %s", id, expected, b.id)
+	if expected != p.id && strings.HasPrefix(expected, b.id) {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if expected != p.id {
+		w.addViolation("request %s for %q reached %s", id, expected, p.id)
 		return
 	}
 	b.mu.Lock()
+	version := b.version
 	late := b.leaving && time.Since(b.leavingSince) > drainGrace
 	b.mu.Unlock()
 	if late && w.cfg.isSettled() {
@@ -190,26 +217,38 @@
 	w.mu.Unlock()
 	b.receiveLimited(w, rw, now)
 	standin.Sign(rw, id, signature(id, ""))
+	var parts []string
 	if b.service == "desk" {
 		time.Sleep(20 * time.Millisecond)
-		_, _ = io.WriteString(rw, "booked "+id)
+		parts = []string{"booked ", id}
+	} else {
+		rw.Header().Set("Content-Type", "text/event-stream")
+		for event := lastEvent + 1; event <= eventCount; event++ {
+			parts = append(parts, eventText(event, path.Base(r.URL.Path), version))
+		}
+	}
+	response, err := beginResponse(rw, id)
+	if err != nil {
 		return
 	}
-	rw.Header().Set("Content-Type", "text/event-stream")
-	for event := lastEvent + 1; event <= eventCount; event++ {
-		if _, err := io.WriteString(rw, eventText(event, path.Base(r.URL.Path), b.version)); err != nil {
-			return
+	for _, part := range parts {
+		if p.ended.Load() {
+			response.endProcess()
+		}
+		if _, err := io.WriteString(response, part); err != nil {
+			break
 		}
-		_ = http.NewResponseController(rw).Flush()
-		time.Sleep(15 * time.Millisecond)
+		response.flush()
+		time.Sleep(eventInterval)
 	}
+	response.end()
 }
 
 // stop stops the servers and the server list.
 func (w *world) stop() {
 	for _, b := range w.backends {
 		b.proxy.close()
-		_ = b.httpServer.Close()
+		_ = b.process.http.Close()
 	}
 	_ = w.listServer.Close()
 }
--- a/internal/router/peer/call.go
+++ b/internal/router/peer/call.go
@@ -22,6 +22,8 @@
 type StateReply struct {
 	Newer bool
 	State PackedState
+	// Versions are the noted versions that the peer knows.
+	Versions []state.ServiceVersion
 }
 
 // ListRequest asks for the list of servers.
@@ -110,6 +112,7 @@
 	Directory(now time.Time) placement.DirectorySnapshot
 	StreamVersion(stream StreamKey) (placement.VersionKey, bool)
 	Versions(ctx context.Context) ([]state.NotedVersion, error)
+	KnownVersions(now time.Time) []state.ServiceVersion
 }
 
 // RPC serves a Handler over net/rpc, which calls its methods by name.
@@ -130,6 +133,7 @@
 
 // State replies with the declared state if it is newer than the requested revision.
 func (r *RPC) State(in *StateRequest, out *StateReply) error {
+	out.Versions = r.handler.KnownVersions(r.clock())
 	state, newer := r.handler.State(in.Above)
 	if !newer {
 		return nil
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -288,6 +290,22 @@
 	return g.machine.Declared(), nil
 }
 
+// replicaVersions returns the noted versions of this router's replica, nil without one.
+func (g *group) replicaVersions() []state.NotedVersion {
+	g.mu.Lock()
+	machine := g.machine
+	g.mu.Unlock()
+	if machine == nil {
+		return nil
+	}
+	return machine.Versions()
+}
+
+// KnownVersions returns the noted versions that this router knows.
+func (g *group) KnownVersions(now time.Time) []state.ServiceVersion {
+	return slices.Collect(maps.Keys(g.router.versions.known(now)))
+}
+
 // Versions returns the noted versions by a linearizable read if this router is the leader.
 func (g *group) Versions(ctx context.Context) ([]state.NotedVersion, error) {
 	node, isLeader := g.localLeader(time.Now())
@@ -297,7 +315,7 @@
 	if err := node.AwaitReadIndex(ctx); err != nil {
 		return nil, err
 	}
-	return g.machine.Versions(), nil
+	return g.replicaVersions(), nil
 }
 
 // Join adds a replica if this router is the leader.
--- a/internal/run/router/holder.go
+++ b/internal/run/router/holder.go
@@ -150,6 +150,7 @@
 		h.log.Warn("declared state not fetched", "from", addr, "error", err.Error())
 		return
 	}
+	r.versions.setFetched(reply.Versions)
 	if !reply.Newer {
 		return
 	}
--- a/internal/run/router/list.go
+++ b/internal/run/router/list.go
@@ -34,6 +34,13 @@
 	listBackoff = 400 * time.Millisecond
 )
 
+// Sources of a list, beside the addresses of peers.
+const (
+	ownSource = "platform"
+	// sameSource means that a peer has read the same list again.
+	sameSource = "same"
+)
+
 // listPoller keeps the list of servers fresh.
 type listPoller struct {
 	router  *Router
@@ -43,6 +50,8 @@
 	list    []placement.Server
 	sum     uint64
 	readAt  time.Time
+	// own is set if this router read the list itself.
+	own bool
 	// retryAt is when the list may be read again after a failure.
 	retryAt time.Time
 	failing bool
@@ -94,6 +103,7 @@
 	case addr != "":
 		p.fetch(ctx, addr)
 	}
+	p.markNoted(now)
 	_, readAt = p.current()
 	readAge := min(maxListReadAge, listReadAge+time.Duration(p.router.peers.Rank(now))*listTurnDelay)
 	if now.Sub(readAt) >= readAge && !now.Before(p.retryAt) {
@@ -101,6 +111,26 @@
 	}
 }
 
+// markNoted marks the servers in the list whose versions have been noted since it was read.
+func (p *listPoller) markNoted(now time.Time) {
+	list, readAt := p.current()
+	marked, changed := p.router.versions.mark(now, list)
+	if !changed {
+		return
+	}
+	p.mu.Lock()
+	p.list, p.sum = marked, listSum(marked)
+	p.mu.Unlock()
+	p.router.servers.SetList(now, readAt, marked)
+}
+
+// isOwn reports whether this router read the list itself.
+func (p *listPoller) isOwn() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.own
+}
+
 func (p *listPoller) checksum() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -110,7 +140,7 @@
 // touch updates the read time after a peer has read the same list again.
 func (p *listPoller) touch(now, at time.Time) {
 	list, _ := p.current()
-	p.apply(now, at, list, "same")
+	p.apply(now, at, list, sameSource)
 }
 
 func (p *listPoller) fetch(ctx context.Context, addr string) {
@@ -146,7 +176,8 @@
 		p.router.log.Info("list of servers regained", "address", address, "broken-entries", invalid)
 	}
 	// The age counts from the start of the call.
-	p.apply(time.Now(), now, p.router.versions.withNoted(ctx, list), "platform")
+	list, _ = p.router.versions.mark(time.Now(), list)
+	p.apply(time.Now(), now, list, ownSource)
 }
 
 // apply stores a list if it is fresher than the current one, and logs the changes.
@@ -159,6 +190,7 @@
 	p.readAt = readAt
 	p.list = list
 	p.sum = listSum(list)
+	p.own = source == ownSource || source == sameSource && p.own
 	p.mu.Unlock()
 	for _, c := range p.router.servers.SetList(now, readAt, list) {
 		p.router.log.Info("server "+c.State, "server", c.Server.ID, "service", c.Server.Service, "zone", c.Server.Zone,
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -146,7 +146,7 @@
 		return nil, err
 	}
 	r.holder.onChange = r.gossip.Trigger
-	r.versions = newVersionHistory(r)
+	r.versions = newVersionHistory(now, r)
 	r.list = newListPoller(r)
 	r.directory = newDirectoryClient(now, r)
 	r.group = newGroup(r, secret)
--- a/internal/run/router/versions.go
+++ b/internal/run/router/versions.go
@@ -14,13 +14,17 @@
 
 // Parameters of the history of versions.
 const (
-	// noteTimeout limits how long a list with new versions waits until these are noted.
+	// noteTimeout limits one attempt to note versions.
 	noteTimeout = 300 * time.Millisecond
-	// noteInterval is the time between checks for versions that aren't noted.
-	noteInterval = 500 * time.Millisecond
+	// noteInterval is the time between checks for versions that aren't noted. Resumable
+	// streams don't begin at a new version until it is.
+	noteInterval = 100 * time.Millisecond
 	// versionRetention is how long a version that is no longer listed stays noted. It is
 	// longer than streams last, with their resumptions.
 	versionRetention = time.Minute
+	// fetchedFor is how long after the start a router without a disk relies on the noted
+	// versions that a peer told it.
+	fetchedFor = 10 * time.Second
 	// maxListGap is the age at which a list doesn't show any more that a version isn't in use.
 	maxListGap = 5 * time.Second
 )
@@ -29,12 +33,18 @@
 // version is noted there before a resumable stream begins at it. Hence the group knows all
 // versions at which streams may have begun, also after all routers have lost their memory.
 type versionHistory struct {
-	router *Router
-	mu     sync.Mutex
+	router    *Router
+	mu        sync.Mutex
+	startedAt time.Time
 	// noted holds the listed versions that this router has noted.
 	noted map[state.ServiceVersion]bool
-	// unlisted holds the noted versions that this router's list lacks. Only maintain uses it.
-	unlisted map[state.ServiceVersion]unlistedVersion
+	// fetched holds the noted versions that a peer told this router.
+	fetched map[state.ServiceVersion]bool
+	// listed holds the versions in the list with the checksum listedSum, and unlisted the noted
+	// versions that it lacks. Only maintain uses these.
+	listed    map[state.ServiceVersion]bool
+	listedSum uint64
+	unlisted  map[state.ServiceVersion]unlistedVersion
 	// reading is held during a read. next is the read that begins after it, or nil.
 	reading sync.Mutex
 	next    *versionRead
@@ -46,8 +56,8 @@
 	since time.Time
 }
 
-func newVersionHistory(r *Router) *versionHistory {
-	return &versionHistory{router: r, noted: make(map[state.ServiceVersion]bool), unlisted: make(map[state.ServiceVersion]unlistedVersion)}
+func newVersionHistory(now time.Time, r *Router) *versionHistory {
+	return &versionHistory{router: r, startedAt: now, noted: make(map[state.ServiceVersion]bool), unlisted: make(map[state.ServiceVersion]unlistedVersion)}
 }
 
 // versionsIn returns the versions of the servers in a list.
@@ -59,27 +69,47 @@
 	return versions
 }
 
-// withNoted notes the versions that are new in a list that this router has read itself. It
-// returns the list with the servers marked whose versions are noted.
-func (h *versionHistory) withNoted(ctx context.Context, list []placement.Server) []placement.Server {
-	listed := versionsIn(list)
-	h.mu.Lock()
-	maps.DeleteFunc(h.noted, func(version state.ServiceVersion, _ bool) bool { return !listed[version] })
-	var missing []state.ServiceVersion
-	for version := range listed {
-		if !h.noted[version] {
-			missing = append(missing, version)
+// mark returns the list with the servers marked whose versions are known to be noted, and
+// whether any mark is new.
+func (h *versionHistory) mark(now time.Time, list []placement.Server) (marked []placement.Server, changed bool) {
+	if !slices.ContainsFunc(list, func(s placement.Server) bool { return !s.Noted }) {
+		return list, false
+	}
+	known := h.known(now)
+	marked = slices.Clone(list)
+	for i, s := range marked {
+		if !s.Noted && known[state.ServiceVersion{Service: s.Service, Version: s.Version}] {
+			marked[i].Noted, changed = true, true
 		}
 	}
-	h.mu.Unlock()
-	h.note(ctx, missing)
+	return marked, changed
+}
+
+// known returns the versions that are noted as far as this router knows: by itself, by its
+// replica, and shortly after the start by a peer.
+func (h *versionHistory) known(now time.Time) map[state.ServiceVersion]bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	marked := slices.Clone(list)
-	for i, s := range marked {
-		marked[i].Noted = h.noted[state.ServiceVersion{Service: s.Service, Version: s.Version}]
+	known := maps.Clone(h.noted)
+	if now.Sub(h.startedAt) < fetchedFor {
+		maps.Copy(known, h.fetched)
+	}
+	for _, version := range h.router.group.replicaVersions() {
+		known[version.ServiceVersion] = true
+	}
+	return known
+}
+
+// setFetched sets the noted versions that a peer knows.
+func (h *versionHistory) setFetched(versions []state.ServiceVersion) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fetched == nil {
+		h.fetched = make(map[state.ServiceVersion]bool)
+	}
+	for _, version := range versions {
+		h.fetched[version] = true
 	}
-	return marked
 }
 
 // note notes versions in the control group.
@@ -103,17 +133,25 @@
 	}
 }
 
-// maintain makes the leader note what is missing, because it couldn't be noted before, and
-// forget what is no longer listed.
+// maintain notes listed versions again that this router hasn't noted itself, so that the leader
+// doesn't forget them, and makes the leader note what is missing and forget what is no longer
+// listed.
 func (h *versionHistory) maintain(ctx context.Context) {
 	now := time.Now()
 	list, readAt := h.router.list.current()
+	if sum := h.router.list.checksum(); sum != h.listedSum || h.listed == nil {
+		h.listed, h.listedSum = versionsIn(list), sum
+	}
+	listed := h.listed
+	missingHere := h.notNotedHere(listed)
+	if h.router.list.isOwn() {
+		h.note(ctx, missingHere)
+	}
 	if _, isLeader := h.router.group.localLeader(now); !isLeader || now.Sub(readAt) > maxListGap {
 		clear(h.unlisted)
 		return
 	}
-	listed := versionsIn(list)
-	known := h.router.group.machine.Versions()
+	known := h.router.group.replicaVersions()
 	missing := maps.Clone(listed)
 	for _, version := range known {
 		delete(missing, version.ServiceVersion)
@@ -126,6 +164,20 @@
 	}
 }
 
+// notNotedHere returns the listed versions that this router hasn't noted since they were listed.
+func (h *versionHistory) notNotedHere(listed map[state.ServiceVersion]bool) []state.ServiceVersion {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.noted, func(version state.ServiceVersion, _ bool) bool { return !listed[version] })
+	var versions []state.ServiceVersion
+	for version := range listed {
+		if !h.noted[version] {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
 // expired returns the known versions that weren't listed, nor noted again, for
 // versionRetention.
 func (h *versionHistory) expired(now time.Time, known []state.NotedVersion, listed map[state.ServiceVersion]bool) []state.NotedVersion {
--- a/internal/run/router/versions_test.go
+++ b/internal/run/router/versions_test.go
@@ -33,7 +33,7 @@
 		{"the retention counts from then on", 3*versionRetention - time.Second, 7, only2, false},
 		{"unlisted for the retention", 3 * versionRetention, 7, only2, true},
 	}
-	h := newVersionHistory(nil)
+	h := newVersionHistory(start, nil)
 	for _, step := range steps {
 		expired := h.expired(start.Add(step.at), noted(step.noted), step.listed)
 		require.Equal(t, step.expired, len(expired) == 1, step.name)
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -70,6 +70,7 @@
 	"neighbour.StreamReply":      peer.StreamReply{},
 	"neighbour.VersionsReply":    peer.VersionsReply{},
 	"neighbour.ListReply.3":      peer.ListReply{},
+	"neighbour.StateReply.2":     peer.StateReply{},
 	"neighbour.FoundRequest":     peer.BootstrapRequest{},
 	"neighbour.FoundReply":       peer.BootstrapReply{},
 }
@@ -106,6 +107,7 @@
 		}
 		message.(*peer.Digest).Extension = peer.Extension{}
 	},
+	"neighbour.StateReply": func(message any) { message.(*peer.StateReply).Versions = nil },
 	"neighbour.ListReply": func(message any) {
 		for i := range message.(*peer.ListReply).Servers {
 			message.(*peer.ListReply).Servers[i].Version = ""
