Two tests give one verdict beside load

TestServerThatStatesItLeavesGetsNoNewRequests needed 500 calls within 1 s and counted requests later than 0.2 s after the statement, both of which depend on the machine's speed (474 calls beside load). Now 1000 requests are sent after a caller has got the statement, however long that takes, and none of them may reach the leaving server: stricter, since no time is allowed.

--- a/internal/entry/agent/exchange_test.go
+++ b/internal/entry/agent/exchange_test.go
@@ -71,6 +71,13 @@
 	return nil
 }
 
+// runsOf returns how often a request was run.
+func (a *testAgent) runsOf(request string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runs[request]
+}
+
 func testView() *control.View {
 	changes := bronzerill.Changes{Pools: []bronzerill.Pool{{
 		Name: "bronze-guides", Kind: bronzerill.PoolEngine, LoadMultiple: 2, Slots: 8, FloorSlots: 8, ColdSlots: 8, RampStep: 1,
@@ -167,12 +174,12 @@
 				defer stop()
 				out := &recordingOutput{}
 				err := client.Exchange(t.Context(), agentAddr, testOpen("r1"), out)
-				assert.LessOrEqual(t, a.runs["r1"], 1)
+				assert.LessOrEqual(t, a.runsOf("r1"), 1)
 				if err != nil {
 					// The request was lost before the agent read it. Nothing
 					// ran, and the error must say so.
 					assert.Equal(t, bronzerill.KindAborted, bronzerill.KindOf(err), "%v", err)
-					assert.Zero(t, a.runs["r1"])
+					assert.Zero(t, a.runsOf("r1"))
 					return
 				}
 				assert.Equal(t, fullResponse("r1"), out.body.String())
@@ -189,7 +196,7 @@
 		defer stop()
 		err := client.Exchange(t.Context(), agentAddr, testOpen("r1"), &recordingOutput{})
 		assert.Equal(t, bronzerill.KindTruncated, bronzerill.KindOf(err))
-		assert.Equal(t, 1, a.runs["r1"])
+		assert.Equal(t, 1, a.runsOf("r1"))
 	})
 }
 
@@ -261,7 +268,7 @@
 		attach.Attach = true
 		assert.Equal(t, bronzerill.KindAborted, bronzerill.KindOf(client.Exchange(t.Context(), agentAddr, attach, &recordingOutput{})))
 		assert.Equal(t, bronzerill.KindAborted, bronzerill.KindOf(client.Exchange(t.Context(), agentAddr, testOpen("r1"), &recordingOutput{})))
-		assert.Zero(t, a.runs["r1"])
+		assert.Zero(t, a.runsOf("r1"))
 	})
 }
 
@@ -275,7 +282,7 @@
 			group.Go(func() error { return client.Exchange(t.Context(), agentAddr, testOpen("r1"), &outs[i]) })
 		}
 		assert.NoError(t, group.Wait())
-		assert.Equal(t, 1, a.runs["r1"])
+		assert.Equal(t, 1, a.runsOf("r1"))
 		for i := range outs {
 			assert.Equal(t, fullResponse("r1"), outs[i].body.String())
 		}
@@ -308,7 +315,7 @@
 		a.server.WithGate(func(g *admission.Gate) { g.Drain() })
 		err := client.Exchange(t.Context(), agentAddr, testOpen("r2"), &recordingOutput{})
 		assert.Equal(t, bronzerill.KindLeaving, bronzerill.KindOf(err))
-		assert.Zero(t, a.runs["r2"])
+		assert.Zero(t, a.runsOf("r2"))
 		assert.True(t, a.server.Busy())
 		assert.NoError(t, group.Wait())
 		assert.Equal(t, fullResponse("r1"), out.body.String())
@@ -324,7 +331,7 @@
 		defer client.Close()
 		err := client.Exchange(t.Context(), agentAddr, testOpen("r1"), &recordingOutput{})
 		assert.Equal(t, bronzerill.RunNot, bronzerill.KindOf(err).Response().Run)
-		assert.Zero(t, a.runs["r1"])
+		assert.Zero(t, a.runsOf("r1"))
 	})
 }
 
--- a/internal/router/caller/leaving_test.go
+++ b/internal/router/caller/leaving_test.go
@@ -1,42 +1,72 @@
 package caller
 
 import (
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 )
 
-// leavingNotice is the time after its first response in which a server that leaves may still
-// get requests, because they were sent before.
-const leavingNotice = 200 * time.Millisecond
-
 // leavingServer states in its responses that it is about to stop.
 type leavingServer struct {
-	// firstAt is when the first response was sent, in Unix nanoseconds.
-	firstAt atomic.Int64
-	late    atomic.Int32
+	// late counts the requests that were sent after a caller had got the statement.
+	late atomic.Int32
 }
 
+// lateID begins the IDs of the requests that are sent after a caller has got the statement.
+const lateID = "late-"
+
 func (s *leavingServer) serve(w http.ResponseWriter, r *http.Request) {
-	now := time.Now()
-	s.firstAt.CompareAndSwap(0, now.UnixNano())
-	if now.Sub(time.Unix(0, s.firstAt.Load())) > leavingNotice {
+	if strings.HasPrefix(r.Header.Get("Id"), lateID) {
 		s.late.Add(1)
 	}
 	w.Header().Set("Leaving", "1")
 	sendEvents(w, r, 1, 2)
 }
 
+// callUntilTold sends requests from several callers until the given number was sent after one
+// of them got a response with the statement. It returns whether one did.
+func (router *testRouter) callUntilTold(callers, requests int) bool {
+	var told atomic.Bool
+	var sent atomic.Int32
+	var group errgroup.Group
+	for i := range callers {
+		group.Go(func() error {
+			for int(sent.Load()) < requests {
+				request := router.request(router.t.Context(), requestPaths[i%len(requestPaths)])
+				if told.Load() {
+					request.Header.Set("Id", lateID+strconv.Itoa(int(sent.Add(1))))
+				}
+				response, err := http.DefaultClient.Do(request)
+				if err != nil {
+					return err
+				}
+				_, err = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+				if err != nil {
+					return err
+				}
+				if response.Header.Get("Leaving") != "" {
+					told.Store(true)
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(router.t, group.Wait())
+	return told.Load()
+}
+
 // The list of servers doesn't show that the server leaves.
 func TestServerThatStatesItLeavesGetsNoNewRequests(t *testing.T) {
 	leaving := new(leavingServer)
 	router := newTestRouter(t, leaving.serve, func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, 1, 2) })
-	router.callAll(16, time.Second)
-	require.Positive(t, leaving.firstAt.Load())
+	require.True(t, router.callUntilTold(16, 1000))
 	require.Zero(t, leaving.late.Load())
 	require.Greater(t, router.received[1].Load(), int32(500))
 }
