--- a/internal/router/caller/cutoff_test.go
+++ b/internal/router/caller/cutoff_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,11 +26,15 @@
 	t    *testing.T
 	addr string
 	// id and born are those that the list states.
-	id      string
-	born    int64
-	mu      sync.Mutex
-	http    *http.Server
-	serving errgroup.Group
+	id   string
+	born int64
+	mu   sync.Mutex
+	http *http.Server
+	// requests handles the requests to the first process.
+	requests http.HandlerFunc
+	serving  errgroup.Group
+	// handling counts the requests that the first process handles.
+	handling sync.WaitGroup
 }
 
 // unframedBody returns what the server sends up to an event, and what it sends in all.
@@ -57,10 +62,12 @@
 	require.NoError(t, err)
 	s.addr = listener.Addr().String()
 	t.Cleanup(func() {
+		s.handling.Wait()
 		_ = s.current().Close()
 		_ = s.serving.Wait()
 	})
-	return s.start(listener, id, born, http.NotFoundHandler())
+	s.start(listener, id, born, s.serveRequest)
+	return s
 }
 
 func (s *unframedServer) current() *http.Server {
@@ -70,12 +77,12 @@
 }
 
 // start starts a process that states id and born.
-func (s *unframedServer) start(listener net.Listener, id string, born int64, requests http.Handler) *unframedServer {
+func (s *unframedServer) start(listener net.Listener, id string, born int64, requests http.HandlerFunc) {
 	process := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		switch {
 		case r.URL.Path != testStatusPath:
-			requests.ServeHTTP(w, r)
+			requests(w, r)
 		case r.Header.Get("Server") != id:
 			w.WriteHeader(http.StatusMisdirectedRequest)
 		case born != 0:
@@ -86,24 +93,33 @@
 	s.http = process
 	s.mu.Unlock()
 	s.serving.Go(func() error { _ = process.Serve(listener); return nil }) // ends when the process is closed
-	return s
 }
 
-// respond makes the server send a body without framing, pause, call end and close the connection.
+// respond makes the first process send a body without framing, pause, call end and close the
+// connection.
 func (s *unframedServer) respond(body func(path string) string, pause time.Duration, end func()) {
-	s.current().Handler = func(status http.Handler) http.Handler {
-		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == testStatusPath {
-				status.ServeHTTP(w, r)
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			sendUnframedThen(w, r, "text/event-stream", body(r.URL.Path), func() {
-				time.Sleep(pause)
-				end()
-			})
+	s.setRequests(func(w http.ResponseWriter, r *http.Request) {
+		sendUnframedThen(w, r, "text/event-stream", body(r.URL.Path), func() {
+			time.Sleep(pause)
+			end()
 		})
-	}(s.current().Handler)
+	})
+}
+
+func (s *unframedServer) setRequests(requests http.HandlerFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = requests
+}
+
+// serveRequest answers a request that isn't for the status.
+func (s *unframedServer) serveRequest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	requests := s.requests
+	s.handling.Add(1)
+	s.mu.Unlock()
+	defer s.handling.Done()
+	requests(w, r)
 }
 
 // crash ends the process with all its connections but those that send a response.
@@ -115,7 +131,7 @@
 	if err != nil {
 		return
 	}
-	s.start(listener, id, born, http.NotFoundHandler())
+	s.start(listener, id, born, http.NotFound)
 }
 
 // hang makes the address accept connections that nobody serves.
@@ -141,13 +157,11 @@
 	now := time.Now()
 	router.table.SetList(now, now, []placement.Server{first})
 	// The other server is listed once the first one has got the request.
-	end := s.current().Handler
-	s.current().Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != testStatusPath {
-			now := time.Now()
-			router.table.SetList(now, now, append(router.servers, first))
-		}
-		end.ServeHTTP(w, r)
+	respond := s.requests
+	s.setRequests(func(w http.ResponseWriter, r *http.Request) {
+		now := time.Now()
+		router.table.SetList(now, now, append(slices.Clone(router.servers), first))
+		respond(w, r)
 	})
 	return router
 }
