--- a/internal/run/router/rejoin_test.go
+++ b/internal/run/router/rejoin_test.go
@@ -128,13 +128,16 @@
 		// before are the versions while the streams begin, atKill those listed when the
 		// routers are killed, and after those listed when they start again.
 		before, atKill, after []string
+		// late is set if the list has no engines at first.
+		late bool
 	}{
-		{"side by side", []string{"v1", "v2"}, []string{"v1", "v2"}, []string{"v1", "v2"}},
-		{"just gone", []string{"v1"}, []string{"v2"}, []string{"v2"}},
-		{"gone while they were down", []string{"v1", "v2"}, []string{"v1", "v2"}, []string{"v2"}},
-		{"replaced while they were down", []string{"v1"}, []string{"v1"}, []string{"v2"}},
-		{"back again", []string{"v2"}, []string{"v2"}, []string{"v1"}},
-		{"back again after a mix", []string{"v1", "v2"}, []string{"v1"}, []string{"v1"}},
+		{"side by side", []string{"v1", "v2"}, []string{"v1", "v2"}, []string{"v1", "v2"}, false},
+		{"just gone", []string{"v1"}, []string{"v2"}, []string{"v2"}, false},
+		{"gone while they were down", []string{"v1", "v2"}, []string{"v1", "v2"}, []string{"v2"}, false},
+		{"replaced while they were down", []string{"v1"}, []string{"v1"}, []string{"v2"}, false},
+		{"replaced while they were down, late list", []string{"v1"}, []string{"v1"}, []string{"v2"}, true},
+		{"back again", []string{"v2"}, []string{"v2"}, []string{"v1"}, false},
+		{"back again after a mix", []string{"v1", "v2"}, []string{"v1"}, []string{"v1"}, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -142,7 +145,13 @@
 			begun := c.begin(8)
 			c.setVersions(test.atKill...)
 			c.awaitList(test.atKill...)
-			c.killAll(test.after...)
+			if test.late {
+				c.killAll()
+				c.resumeFor(time.Second, begun)
+				c.setVersions(test.after...)
+			} else {
+				c.killAll(test.after...)
+			}
 			c.resumeFor(afterRestart, begun)
 		})
 	}
@@ -158,6 +167,22 @@
 	require.Zero(t, refused)
 }
 
+func TestStreamIsNotResumedAtAnotherVersionAfterRollingRestarts(t *testing.T) {
+	c := newRejoinCluster(t, "v1")
+	begun := c.begin(8)
+	for i := range c.routers {
+		if i == 2 {
+			c.setVersions("v2")
+			c.awaitList("v2")
+		}
+		c.stop[i]()
+		c.start(i, c.folders[i], false)
+		c.awaitStatus(i, "/a/x", 200)
+		c.resume(begun, fmt.Sprint("restart-", i))
+	}
+	c.resumeFor(time.Second, begun)
+}
+
 // The router has state and a list of one version, but can't know what the others have seen.
 func TestRouterAloneResumesNoUnknownStream(t *testing.T) {
 	c := newRejoinCluster(t, "v1")
