--- a/cmd/bronzerill-soak/fleet.go
+++ b/cmd/bronzerill-soak/fleet.go
@@ -50,13 +50,9 @@
 func newFleet(cfg config, listAddr string) (*fleet, error) {
 	f := &fleet{cfg: cfg, listAddr: listAddr, ports: make(map[string]int)}
 	for _, name := range []string{"callers", "readiness", "operators", "internal", "metrics"} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		f.ports[name] = listener.Addr().(*net.TCPAddr).Port
-		if err := listener.Close(); err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+		var err error
+		if f.ports[name], err = f.freePort(); err != nil {
+			return nil, err
 		}
 	}
 	for i := range cfg.routers {
@@ -74,6 +70,43 @@
 	return f, os.MkdirAll(cfg.folder, 0o755)
 }
 
+// lowestPort and portCount are a range below the ephemeral ports. Connections can't take a port
+// from it while a router is down.
+const (
+	lowestPort = 20_000
+	portCount  = 12_000
+)
+
+// freePort returns a port that is free on the addresses of all routers.
+func (f *fleet) freePort() (int, error) {
+	first := os.Getpid()*31 + len(f.ports)
+	for i := range portCount {
+		port := lowestPort + (first+i)%portCount
+		if f.isFree(port) {
+			return port, nil
+		}
+	}
+	return 0, errors.New("no free port")
+}
+
+func (f *fleet) isFree(port int) bool {
+	for _, taken := range f.ports {
+		if taken == port {
+			return false
+		}
+	}
+	for i := range f.cfg.routers {
+		for _, host := range []string{"127.0.0", "127.0.1"} {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", host, i+1, port))
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
+		}
+	}
+	return true
+}
+
 // addr returns the address of one of a router's ports.
 func (f *fleet) addr(i int, port string) string {
 	return fmt.Sprintf("127.0.0.%d:%d", i+1, f.ports[port])
