--- a/internal/run/router/versions.go
+++ b/internal/run/router/versions.go
@@ -40,6 +40,8 @@
 	noted map[state.ServiceVersion]bool
 	// fetched holds the noted versions that a peer told this router.
 	fetched map[state.ServiceVersion]bool
+	// failing is set after a failed attempt to note versions.
+	failing bool
 	// listed holds the versions in the list with the checksum listedSum, and unlisted the noted
 	// versions that it lacks. Only maintain uses these.
 	listed    map[state.ServiceVersion]bool
@@ -112,7 +114,7 @@
 	}
 }
 
-// note notes versions in the control group.
+// note notes versions in the control group. Only maintain calls it.
 func (h *versionHistory) note(ctx context.Context, versions []state.ServiceVersion) {
 	if len(versions) == 0 {
 		return
@@ -120,9 +122,13 @@
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	defer cancel()
 	err := h.router.group.propose(ctx, state.Command{At: time.Now(), NoteVersions: &state.NoteVersions{Versions: versions}})
+	wasFailing := h.failing
+	h.failing = err != nil
 	if err != nil {
 		metrics.Count(metrics.EventVersionNotNoted)
-		h.router.log.Warn("versions of servers not noted", "versions", versions, "error", err.Error())
+		if !wasFailing {
+			h.router.log.Warn("versions of servers not noted", "versions", versions, "error", err.Error())
+		}
 		return
 	}
 	h.router.log.Info("versions of servers noted", "versions", versions)
