--- a/cmd/bronzerill-soak/killall.go
+++ b/cmd/bronzerill-soak/killall.go
@@ -19,6 +19,8 @@
 	brokenByKill = 500 * time.Millisecond
 	// versionGap is how long versions stay as a kill has left them.
 	versionGap = 4 * time.Second
+	// listTime is the time in which routers use a changed list.
+	listTime = 1500 * time.Millisecond
 	// killedStreams is the number of streams that are begun before each kill.
 	killedStreams = 40
 )
@@ -55,6 +57,7 @@
 			time.Sleep(time.Duration(random.Int64N(int64(versionGap))))
 		}
 		restore()
+		time.Sleep(listTime)
 	}
 	time.Sleep(settleTime)
 	return streams.Wait()
@@ -101,48 +104,60 @@
 	}
 }
 
+// killOfAll is a kill of all routers, and what became of the streams that it broke.
+type killOfAll struct {
+	killedAt, startedAt time.Time
+	resumed, notResumed int
+}
+
 // afterKills counts the streams that were broken by kills of all routers.
 type afterKills struct {
-	mu                   sync.Mutex
-	killedAt, startedAt  time.Time
-	resumed, notResumed  int
-	firstResumed, latest time.Duration
+	mu    sync.Mutex
+	kills []*killOfAll
+	// first and last are the times from a start until streams were resumed.
+	first, last time.Duration
 }
 
 func (a *afterKills) record(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.killedAt = now
+	a.kills = append(a.kills, &killOfAll{killedAt: now})
 }
 
 func (a *afterKills) recordStart(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.startedAt = now
+	a.kills[len(a.kills)-1].startedAt = now
 }
 
 // count counts a stream that was resumed, or not, if a kill broke it.
 func (a *afterKills) count(brokenAt, now time.Time, resumed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if broken := brokenAt.Sub(a.killedAt); broken < 0 || broken > brokenByKill {
-		return
-	}
-	if !resumed {
-		a.notResumed++
+	for _, kill := range a.kills {
+		if broken := brokenAt.Sub(kill.killedAt); broken < 0 || broken > brokenByKill {
+			continue
+		}
+		if !resumed {
+			kill.notResumed++
+			return
+		}
+		kill.resumed++
+		after := now.Sub(kill.startedAt)
+		if a.first == 0 || after < a.first {
+			a.first = after
+		}
+		a.last = max(a.last, after)
 		return
 	}
-	a.resumed++
-	after := now.Sub(a.startedAt)
-	if a.firstResumed == 0 || after < a.firstResumed {
-		a.firstResumed = after
-	}
-	a.latest = max(a.latest, after)
 }
 
 func (a *afterKills) String() string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return fmt.Sprintf(", after kills of all routers %d streams resumed (%v to %v after the start), %d not",
-		a.resumed, a.firstResumed.Round(time.Millisecond), a.latest.Round(time.Millisecond), a.notResumed)
+	text := ", after kills of all routers"
+	for _, kill := range a.kills {
+		text += fmt.Sprintf(" %d of %d", kill.resumed, kill.resumed+kill.notResumed)
+	}
+	return text + fmt.Sprintf(" streams resumed (%v to %v after a start)", a.first.Round(time.Millisecond), a.last.Round(time.Millisecond))
 }
