review: case 2, an entry of the list that can't be read stops all of it

Tried: the platform's list may hold entries of other writers with bytes that can't be read; the others hold. Entries are decoded one by one, but only after the whole page has passed the JSON decoder. The script puts one entry with control characters into the list, and replaces all servers as in a release.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -23,8 +23,9 @@
 // cases maps the names of the cases to the functions that play them. A function returns what broke the
 // rule, or an empty text.
 var cases = map[string]func(l *lab) (broken string, err error){
-	"late-order":   playLateOrder,
-	"moved-stream": playMovedStream,
+	"late-order":    playLateOrder,
+	"moved-stream":  playMovedStream,
+	"foreign-entry": playForeignEntry,
 }
 
 func main() {
--- a/review/lab/platform.go
+++ b/review/lab/platform.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +32,8 @@
 	http      *http.Server
 	mu        sync.Mutex
 	instances []instance
+	// foreign is an entry of another writer, empty for none.
+	foreign string
 }
 
 func (l *lab) startPlatform() error {
@@ -39,11 +44,9 @@
 	p := &platformList{addr: listener.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
 		w.Header().Set("Content-Type", "application/json")
 		// The router may have disconnected.
-		_ = json.NewEncoder(w).Encode(map[string]any{"instances": p.instances, "next": nil})
+		_, _ = io.WriteString(w, p.page())
 	})
 	p.http = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	l.platform = p
@@ -51,6 +54,47 @@
 	return nil
 }
 
+// page returns the list. It has a single page.
+func (p *platformList) page() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var entries []string
+	for _, i := range p.instances {
+		// The fields are plain data, so encoding can't fail.
+		data, _ := json.Marshal(i)
+		entries = append(entries, string(data))
+	}
+	if p.foreign != "" {
+		entries = append(entries, p.foreign)
+	}
+	return `{"instances":[` + strings.Join(entries, ",") + `],"next":null}`
+}
+
+// setForeign adds an entry of another writer.
+func (p *platformList) setForeign(entry string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.foreign = entry
+}
+
+// setState sets the state of a server in the list.
+func (p *platformList) setState(id, state string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.instances {
+		if p.instances[i].ID == id {
+			p.instances[i].State = state
+		}
+	}
+}
+
+// remove removes a server from the list.
+func (p *platformList) remove(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = slices.DeleteFunc(p.instances, func(i instance) bool { return i.ID == id })
+}
+
 func (p *platformList) add(i instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
