--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -65,7 +65,9 @@
 }
 
 type proposal struct {
-	data   []byte
+	data []byte
+	// term is the only term in which the command may be appended. 0 allows any.
+	term   uint64
 	change func(Members) (Members, error)
 	reply  chan proposalResult
 }
@@ -201,6 +203,17 @@
 	return n.submit(ctx, proposal{data: command, reply: make(chan proposalResult, 1)})
 }
 
+// Enqueue queues a command that may be appended to the log in the given term only. It returns
+// a function that waits for the result as Propose does. Commands are appended in the order in
+// which they were queued.
+func (n *Node) Enqueue(ctx context.Context, term uint64, command []byte) (await func() (any, error), err error) {
+	p := proposal{data: command, term: term, reply: make(chan proposalResult, 1)}
+	if err := n.enqueue(ctx, p); err != nil {
+		return nil, err
+	}
+	return func() (any, error) { return p.await(ctx) }, nil
+}
+
 // ChangeMembers proposes the member list that change derives from the current
 // one. It doesn't wait for the commit.
 func (n *Node) ChangeMembers(ctx context.Context, change func(Members) (Members, error)) error {
@@ -209,11 +222,22 @@
 }
 
 func (n *Node) submit(ctx context.Context, p proposal) (any, error) {
+	if err := n.enqueue(ctx, p); err != nil {
+		return nil, err
+	}
+	return p.await(ctx)
+}
+
+func (n *Node) enqueue(ctx context.Context, p proposal) error {
 	select {
 	case n.proposals <- p:
+		return nil
 	case <-ctx.Done():
-		return nil, bronzerill.Errorf(bronzerill.KindTableFull, "proposal queue is full")
+		return bronzerill.Errorf(bronzerill.KindTableFull, "proposal queue is full")
 	}
+}
+
+func (p proposal) await(ctx context.Context) (any, error) {
 	select {
 	case r := <-p.reply:
 		return r.value, r.err
@@ -315,6 +339,10 @@
 		p.reply <- proposalResult{err: err}
 		return
 	}
+	if p.term != 0 && p.term != n.core.Term() {
+		p.reply <- proposalResult{err: bronzerill.Errorf(bronzerill.KindNotLeader, "the term has ended")}
+		return
+	}
 	index, term, err := n.core.Propose(now, p.data)
 	if err != nil {
 		p.reply <- proposalResult{err: err}
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"bronzerill"
@@ -37,6 +38,19 @@
 // Encode returns the encoding of the command for the log.
 func (c Command) Encode() ([]byte, error) { return msgpack.Marshal(c) }
 
+// OrderedZone returns the zone that an encoded command takes out or puts back, or an empty string
+// for other commands.
+func OrderedZone(data []byte) (string, error) {
+	var c Command
+	if err := msgpack.Unmarshal(data, &c); err != nil {
+		return "", errors.Wrap(err, "decode command")
+	}
+	if c.SetZone == nil {
+		return "", nil
+	}
+	return c.SetZone.Zone, nil
+}
+
 // TicketCommand submits a change ticket.
 type TicketCommand struct {
 	Ticket bronzerill.Ticket `msgpack:"t"`
--- a/internal/router/peer/call.go
+++ b/internal/router/peer/call.go
@@ -36,8 +36,22 @@
 	Servers []placement.Server
 }
 
+// ZoneRevision identifies the last order for a zone that a leader accepted. It is zero if the
+// leader is of a build that doesn't count orders.
+type ZoneRevision struct {
+	Term uint64
+	// Accepted is the number of orders that the leader has accepted in the term.
+	Accepted uint64
+}
+
 // ProposeRequest asks the leader to replicate a command.
-type ProposeRequest struct{ Command []byte }
+type ProposeRequest struct {
+	Command []byte
+	// Zone is the revision on which an order for a zone is based. A call may arrive after its
+	// sender has given up and a newer order was accepted, so the leader rejects an order whose
+	// base isn't the current revision. Other commands have none.
+	Zone ZoneRevision
+}
 
 // ProposeReply carries the outcome. It has the kind of an error in a field of its own,
 // since net/rpc transports errors only as texts.
@@ -50,7 +64,11 @@
 
 // ReadRequest asks the leader for a linearizable read of the declared state. The
 // reply omits a state whose revision is not greater than Above.
-type ReadRequest struct{ Above uint64 }
+type ReadRequest struct {
+	Above uint64
+	// Zone asks for the revision of a zone too, unless it is empty.
+	Zone string
+}
 
 // ReadReply carries the revision of the declared state, and the state if it is newer.
 type ReadReply struct {
@@ -58,6 +76,7 @@
 	Detail   string
 	Revision uint64
 	State    PackedState
+	Zone     ZoneRevision
 }
 
 // JoinRequest asks the leader to add a replica to the control group.
@@ -105,8 +124,9 @@
 type Handler interface {
 	State(above uint64) (declared.State, bool)
 	List(now time.Time) (servers []placement.Server, age time.Duration, ok bool)
-	Propose(ctx context.Context, command []byte) (revision uint64, err error)
+	Propose(ctx context.Context, command []byte, base ZoneRevision) (revision uint64, err error)
 	Read(ctx context.Context) (declared.State, error)
+	ZoneRevision(ctx context.Context, zone string) (ZoneRevision, error)
 	Join(ctx context.Context, r JoinRequest) error
 	GrantBootstrap(r BootstrapRequest) bool
 	Directory(now time.Time) placement.DirectorySnapshot
@@ -159,7 +179,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), CallTimeout)
 	defer cancel()
 	var err error
-	out.Revision, err = r.handler.Propose(ctx, in.Command)
+	out.Revision, err = r.handler.Propose(ctx, in.Command, in.Zone)
 	out.Kind, out.Detail = encodeError(err)
 	return nil
 }
@@ -169,6 +189,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), CallTimeout)
 	defer cancel()
 	state, err := r.handler.Read(ctx)
+	if err == nil && in.Zone != "" {
+		out.Zone, err = r.handler.ZoneRevision(ctx, in.Zone)
+	}
 	out.Kind, out.Detail = encodeError(err)
 	out.Revision = state.Revision
 	if err == nil && state.Revision > in.Above {
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -53,6 +53,7 @@
 	bootstrapGrantee string
 	// leaderSeenAt is when this replica last knew a leader.
 	leaderSeenAt time.Time
+	zoneOrders   zoneOrders
 }
 
 func newGroup(r *Router, secret netrpc.Secret) *group {
@@ -243,8 +244,9 @@
 	return g.router.streams.records.Version(stream)
 }
 
-// Propose replicates a command if this router is the leader.
-func (g *group) Propose(ctx context.Context, command []byte) (uint64, error) {
+// Propose replicates a command if this router is the leader. An order for a zone is replicated
+// only if no other was accepted since base.
+func (g *group) Propose(ctx context.Context, command []byte, base peer.ZoneRevision) (uint64, error) {
 	node, isLeader := g.localLeader(time.Now())
 	if !isLeader {
 		return 0, bronzerill.Errorf(bronzerill.KindNotLeader, "this router is not the leader")
@@ -252,7 +254,7 @@
 	if err := g.checkVoters(node); err != nil {
 		return 0, err
 	}
-	value, err := node.Propose(ctx, command)
+	value, err := g.submit(ctx, node, command, base)
 	if err != nil {
 		return 0, err
 	}
@@ -335,7 +337,8 @@
 }
 
 // callLeader runs a call at the leader, local or remote. It retries at the current leader
-// until ctx is done. Calls must be idempotent.
+// until ctx is done. A call may take effect more than once, and after callLeader has returned,
+// when newer calls have taken effect. It must be harmless then.
 func (g *group) callLeader(ctx context.Context, local func() error, remote func(addr string) error) error {
 	err := bronzerill.Errorf(bronzerill.KindNoQuorum, "no leader is known")
 	for ctx.Err() == nil {
--- a/internal/run/router/operator.go
+++ b/internal/run/router/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"time"
 
@@ -23,7 +24,7 @@
 	if faults := document.Faults(); len(faults) > 0 {
 		return g.rejectState(strings.Join(faults, "; "))
 	}
-	err = g.propose(ctx, state.Command{At: time.Now(), Declare: &state.Declare{Number: document.Number, Source: source}})
+	err = g.propose(ctx, state.Command{At: time.Now(), Declare: &state.Declare{Number: document.Number, Source: source}}, peer.ZoneRevision{})
 	g.router.log.Info("declared state submitted", "number", document.Number, "bytes", len(source), "outcome", bronzerill.KindOf(err).String())
 	return err
 }
@@ -33,24 +34,46 @@
 	return bronzerill.Errorf(bronzerill.KindTicketInvalid, "%s", detail)
 }
 
-// SetZone takes a data centre out of service or back into service.
+// SetZone takes a data centre out of service or back into service. It fails if another order for
+// the zone is accepted meanwhile.
 func (g *group) SetZone(ctx context.Context, zone string, out bool) error {
-	err := g.propose(ctx, state.Command{At: time.Now(), SetZone: &state.SetZone{Zone: zone, Out: out}})
-	g.router.log.Info("zone set", "zone", zone, "out", out, "outcome", bronzerill.KindOf(err).String())
+	base, err := g.newestZoneRevision(ctx, zone)
+	if err == nil {
+		err = g.propose(ctx, state.Command{At: time.Now(), SetZone: &state.SetZone{Zone: zone, Out: out}}, base)
+	}
+	g.router.log.Info("zone set", "zone", zone, "out", out, "base-term", base.Term, "base-orders", base.Accepted, "outcome", bronzerill.KindOf(err).String())
 	return err
 }
 
-func (g *group) propose(ctx context.Context, command state.Command) error {
+// newestZoneRevision returns the revision of a zone at the leader.
+func (g *group) newestZoneRevision(ctx context.Context, zone string) (revision peer.ZoneRevision, err error) {
+	err = g.callLeader(ctx, func() error {
+		var err error
+		revision, err = g.ZoneRevision(ctx, zone)
+		return err
+	}, func(addr string) error {
+		var reply peer.ReadReply
+		if err := g.router.clients.Call(ctx, addr, "Read", &peer.ReadRequest{Above: math.MaxUint64, Zone: zone}, &reply); err != nil {
+			return bronzerill.Errorf(bronzerill.KindNoQuorum, "%v", err)
+		}
+		revision = reply.Zone
+		return peer.Err(reply.Kind, reply.Detail)
+	})
+	return revision, err
+}
+
+// propose replicates a command. base is zero except for orders for a zone.
+func (g *group) propose(ctx context.Context, command state.Command, base peer.ZoneRevision) error {
 	data, err := command.Encode()
 	if err != nil {
 		return bronzerill.Errorf(bronzerill.KindInternal, "encode command: %v", err)
 	}
 	return g.callLeader(ctx, func() error {
-		_, err := g.Propose(ctx, data)
+		_, err := g.Propose(ctx, data, base)
 		return err
 	}, func(addr string) error {
 		var reply peer.ProposeReply
-		if err := g.router.clients.Call(ctx, addr, "Propose", &peer.ProposeRequest{Command: data}, &reply); err != nil {
+		if err := g.router.clients.Call(ctx, addr, "Propose", &peer.ProposeRequest{Command: data, Zone: base}, &reply); err != nil {
 			return bronzerill.Errorf(bronzerill.KindNoQuorum, "%v", err)
 		}
 		return peer.Err(reply.Kind, reply.Detail)
--- a/internal/run/router/router_test.go
+++ b/internal/run/router/router_test.go
@@ -48,6 +48,9 @@
 	ports       map[string]int
 	stop        []func()
 	routers     []*Router
+	// links are the paths to the routers, by router. They are nil if the routers reach each other
+	// directly.
+	links []*link
 }
 
 // lowestPort and portCount are a range below the ephemeral ports, which connections of other
@@ -87,6 +90,10 @@
 }
 
 func newCluster(t *testing.T, size, disks int) *cluster {
+	return newClusterWithLinks(t, size, disks, false)
+}
+
+func newClusterWithLinks(t *testing.T, size, disks int, linked bool) *cluster {
 	c := &cluster{t: t, ports: make(map[string]int)}
 	for _, name := range []string{"callers", "readiness", "operators", "internal"} {
 		c.ports[name] = freePort(t)
@@ -115,6 +122,11 @@
 			{"id":"i-2","service":"guides","address":%q,"zone":"zone-a","slots":48,"state":"ready"}],"next":null}`, c.server.Listener.Addr(), c.engine.Listener.Addr())
 	}))
 	t.Cleanup(c.list.Close)
+	for i := range size {
+		if linked {
+			c.links = append(c.links, newLink(t, c.linkAddr(i), c.addr(i, "internal")))
+		}
+	}
 	for i := range size {
 		folder := ""
 		if i < disks {
@@ -138,11 +150,17 @@
 
 func (c *cluster) start(i int, folder string, bootstrap bool) {
 	var seeds []string
+	advertise := ""
 	for seed := range 3 {
-		seeds = append(seeds, c.addr(seed, "operators"))
+		if c.links == nil {
+			seeds = append(seeds, c.addr(seed, "operators"))
+		} else {
+			seeds = append(seeds, c.linkAddr(seed))
+			advertise = c.linkAddr(i)
+		}
 	}
 	s := file.Settings{Name: fmt.Sprintf("router-%d", i), Zone: "zone-a", LogLevel: "info", Router: &file.Router{
-		Callers: c.addr(i, "callers"), Readiness: c.addr(i, "readiness"), Operators: c.addr(i, "operators"), Internal: c.addr(i, "internal"),
+		Callers: c.addr(i, "callers"), Readiness: c.addr(i, "readiness"), Operators: c.addr(i, "operators"), Internal: c.addr(i, "internal"), Advertise: advertise,
 		Seeds: seeds, Bootstrap: bootstrap, DataFolder: folder, InstanceList: c.list.Listener.Addr().String(),
 		Losses: 1, StopTimeout: file.Duration{Duration: 8 * time.Second},
 	}}
--- a/internal/run/router/versions.go
+++ b/internal/run/router/versions.go
@@ -9,6 +9,7 @@
 
 	"bronzerill/internal/control/state"
 	"bronzerill/internal/operator/metrics"
+	"bronzerill/internal/router/peer"
 	"bronzerill/internal/router/placement"
 )
 
@@ -121,7 +122,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	defer cancel()
-	err := h.router.group.propose(ctx, state.Command{At: time.Now(), NoteVersions: &state.NoteVersions{Versions: versions}})
+	err := h.router.group.propose(ctx, state.Command{At: time.Now(), NoteVersions: &state.NoteVersions{Versions: versions}}, peer.ZoneRevision{})
 	wasFailing := h.failing
 	h.failing = err != nil
 	if err != nil {
@@ -210,7 +211,7 @@
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	defer cancel()
 	command := state.Command{At: time.Now(), ForgetVersion: &state.ForgetVersion{Version: version.ServiceVersion, Noted: version.Noted}}
-	err := h.router.group.propose(ctx, command)
+	err := h.router.group.propose(ctx, command, peer.ZoneRevision{})
 	if err == nil {
 		h.router.log.Info("version of servers forgotten", "version", version.ServiceVersion)
 	}
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -60,9 +60,12 @@
 	"neighbour.ListReply":        peer.ListReply{},
 	"neighbour.ListReply.2":      peer.ListReply{},
 	"neighbour.ProposeRequest":   peer.ProposeRequest{},
+	"neighbour.ProposeRequest.2": peer.ProposeRequest{},
 	"neighbour.ProposeReply":     peer.ProposeReply{},
 	"neighbour.ReadRequest":      peer.ReadRequest{},
+	"neighbour.ReadRequest.2":    peer.ReadRequest{},
 	"neighbour.ReadReply":        peer.ReadReply{},
+	"neighbour.ReadReply.2":      peer.ReadReply{},
 	"neighbour.JoinRequest":      peer.JoinRequest{},
 	"neighbour.JoinReply":        peer.JoinReply{},
 	"neighbour.DirectoryReply":   peer.DirectoryReply{},
@@ -107,7 +110,10 @@
 		}
 		message.(*peer.Digest).Extension = peer.Extension{}
 	},
-	"neighbour.StateReply": func(message any) { message.(*peer.StateReply).Versions = nil },
+	"neighbour.ProposeRequest": func(message any) { message.(*peer.ProposeRequest).Zone = peer.ZoneRevision{} },
+	"neighbour.ReadRequest":    func(message any) { message.(*peer.ReadRequest).Zone = "" },
+	"neighbour.ReadReply":      func(message any) { message.(*peer.ReadReply).Zone = peer.ZoneRevision{} },
+	"neighbour.StateReply":     func(message any) { message.(*peer.StateReply).Versions = nil },
 	"neighbour.ListReply": func(message any) {
 		for i := range message.(*peer.ListReply).Servers {
 			message.(*peer.ListReply).Servers[i].Version = ""
