--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -172,6 +172,7 @@
 	if len(e.tried) > 0 && e.isQuarantined(now) {
 		return attempt{}, bronzerill.Errorf(bronzerill.KindSuspect, "quarantined after %d attempts", len(e.tried))
 	}
+	e.updateService()
 	query := e.query(now)
 	choice, err := e.cfg.Servers.Pick(now, query)
 	if err != nil {
@@ -192,6 +193,24 @@
 	return a, nil
 }
 
+// updateService takes over what is declared of the service now. A request may last long.
+func (e *exchange) updateService() {
+	if service, declared := e.cfg.Routes().Service(e.service.Name); declared {
+		e.service = service
+	}
+}
+
+// isZoneOut reports whether a zone is out now, not when the request arrived.
+func (e *exchange) isZoneOut(zone string) bool { return e.cfg.Routes().IsZoneOut(zone) }
+
+// maySend reports why the request must not be sent to the picked server any more.
+func (e *exchange) maySend() error {
+	if e.isZoneOut(e.choice.Zone) {
+		return bronzerill.Errorf(bronzerill.KindZoneOut, "zone %s of %s is out", e.choice.Zone, e.choice.ID)
+	}
+	return e.cfg.Servers.MaySend(e.cfg.Clock(), e.choice)
+}
+
 // query describes the request for the choice of a server.
 func (e *exchange) query(now time.Time) placement.Query {
 	return placement.Query{
@@ -204,7 +223,7 @@
 		OnlyNoted: e.route.Kind == declared.Stream && e.route.Resumable && e.version.get() == 0,
 		Excluded:  e.tried,
 		MayRepeat: e.route.MayRepeat(),
-		ZoneOut:   e.table.IsZoneOut,
+		ZoneOut:   e.isZoneOut,
 		Request:   e.queueingRequest(now),
 	}
 }
@@ -308,7 +327,7 @@
 		Body:      e.body,
 		FreshConn: !e.route.MayRepeat(),
 		Witness:   !e.statesStartTime(),
-		MaySend:   func() error { return e.cfg.Servers.MaySend(e.cfg.Clock(), e.choice) },
+		MaySend:   e.maySend,
 		Matches: func(h http.Header) bool {
 			responseID := e.cfg.Dialect.ParseResponse(0, h).ID
 			return responseID == "" || responseID == id
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -116,6 +116,8 @@
 	start   time.Time
 	// deadline is when the caller's or the route's timeout expires.
 	deadline time.Time
+	// table is the declared state at the start. It decides who may call and which service the
+	// request goes to. What decides where the service's servers get requests may change meanwhile.
 	table    *declared.Table
 	route    *declared.Route
 	customer *declared.Customer
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -30,11 +30,15 @@
 type testRouter struct {
 	t        *testing.T
 	table    *placement.Table
+	handler  *Handler
 	frontend *httptest.Server
 	servers  []placement.Server
 	received []*atomic.Int32
 	logged   *logBuffer
 	streams  *memoryStreams
+	document declared.Document
+	// state is compiled from the document.
+	state atomic.Pointer[declared.Table]
 }
 
 // logBuffer is a log output that is safe for concurrent reads and writes.
@@ -81,7 +85,7 @@
 	}
 	engine := route("engine", declared.Stream, 1)
 	engine.Targets = []declared.Target{{Service: "engine", Weight: 1}}
-	state := declared.NewTable(declared.Document{
+	router.document = declared.Document{
 		Number: 1, RequiresKey: true,
 		Routes: []declared.Route{
 			route("once", declared.Once, 1), route("repeatable", declared.Repeatable, 2), route("stream", declared.Stream, 1),
@@ -89,13 +93,14 @@
 		},
 		Services:  []declared.Service{{Name: "desk"}, {Name: "engine", Engine: &declared.Engine{Slots: 6}}},
 		Customers: []declared.Customer{{Name: "agency", Keys: []string{"key"}}},
-	}, nil)
-	handler := NewHandler(Config{
+	}
+	router.state.Store(declared.NewTable(router.document, nil))
+	router.handler = NewHandler(Config{
 		Dialect: testDialect{}, Servers: router.table, Client: server.NewClient(server.Config{Clock: time.Now}),
-		Streams: router.streams, Routes: func() *declared.Table { return state }, Clock: time.Now,
+		Streams: router.streams, Routes: router.state.Load, Clock: time.Now,
 		Log: hclog.New(&hclog.LoggerOptions{Name: "a", JSONFormat: true, Output: router.logged}),
 	})
-	router.frontend = httptest.NewUnstartedServer(handler)
+	router.frontend = httptest.NewUnstartedServer(router.handler)
 	router.frontend.Config.ConnContext = httpabort.ConnContext
 	router.frontend.Start()
 	t.Cleanup(router.frontend.Close)
