--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -105,7 +105,8 @@
 const maxForeignResponses = 2
 
 // Do sends a call and returns the response once its header has arrived. It never sends
-// a call twice. If ctx ends, the connection is closed, even while the body is being read.
+// a call twice. If ctx ends, the connection is reset, even while the body is being read, so that
+// a server which has been unreachable doesn't get the call later.
 // The error is an *Error and states whether the server may have run the request.
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	conn, isNew, err := c.connect(ctx, call)
@@ -135,12 +136,12 @@
 // be nil.
 func (c *Client) exchange(ctx context.Context, conn *clientConn, witness *Witness, call Call) (*Response, error) {
 	request := newRequest(call)
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.reset() })
 	write := startWrite(conn, request, len(call.Body))
 	response, err := c.readResponse(conn, request, call.Matches) //nolint:bodyclose // the body of the returned Response closes it
 	if err != nil {
 		stop()
-		_ = conn.Close()
+		_ = conn.reset()
 		witness.release()
 		written := write.bytesWritten()
 		run := bronzerill.RunUnknown
@@ -324,7 +325,7 @@
 }
 
 // Close returns the connection to the pool if it can be reused, and closes it
-// otherwise.
+// otherwise. It gives up the call if the response isn't complete.
 func (b *body) Close() error {
 	if b.closed {
 		return nil
@@ -337,5 +338,8 @@
 		b.client.pool.put(b.client.cfg.Clock(), b.conn)
 		return nil
 	}
+	if !b.atEOF {
+		return b.conn.reset()
+	}
 	return b.conn.Close()
 }
--- a/internal/router/server/conn.go
+++ b/internal/router/server/conn.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bronzerill/internal/wire/tcp"
 )
 
 // Limits of connections.
@@ -58,6 +60,9 @@
 	idleSince   time.Time
 }
 
+// reset closes the connection of a call that is given up.
+func (c *clientConn) reset() error { return tcp.Reset(c.Conn) }
+
 // pool holds idle connections by address.
 type pool struct {
 	mu   sync.Mutex
--- a/internal/wire/netrpc/client.go
+++ b/internal/wire/netrpc/client.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bronzerill/internal/wire/tcp"
 )
 
 const dialTimeout = time.Second
@@ -19,7 +21,13 @@
 	addr   string
 	secret Secret
 	mu     sync.Mutex
-	conn   *rpc.Client
+	conn   *clientConn
+}
+
+// clientConn is a connection to the server.
+type clientConn struct {
+	*rpc.Client
+	transport net.Conn
 }
 
 // NewClient returns a client that connects on its first call.
@@ -46,7 +54,7 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context) (*clientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn != nil {
@@ -61,17 +69,20 @@
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "connect to %s", c.addr)
 	}
-	c.conn = rpc.NewClient(countingConn{conn})
+	c.conn = &clientConn{Client: rpc.NewClient(countingConn{conn}), transport: conn}
 	return c.conn, nil
 }
 
-func (c *Client) drop(conn *rpc.Client) {
+// drop resets a connection. Calls on it that the server hasn't received yet are not delivered
+// any more.
+func (c *Client) drop(conn *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn == conn {
 		c.conn = nil
 	}
-	_ = conn.Close()
+	_ = tcp.Reset(conn.transport)
+	_ = conn.Close() // fails the calls on it, whose connection is closed already
 }
 
 // Close closes the connection, if any.
--- a/internal/wire/netrpc/netrpc_test.go
+++ b/internal/wire/netrpc/netrpc_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,3 +99,38 @@
 	}
 	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the server closes the connection")
 }
+
+// Guards against calls that arrive after they timed out (review/1).
+func TestCallThatTimedOutIsNotDeliveredLater(t *testing.T) {
+	// The receive buffer takes a small part of the call, and the sender's kernel the rest.
+	const wordBytes, receiveBuffer = 64 << 10, 4 << 10
+	secret := Secret(nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	timedOut := make(chan struct{})
+	received := int64(0)
+	var server errgroup.Group
+	server.Go(func() error {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		if err := secret.handshake(conn, "server", "client"); err != nil {
+			return err
+		}
+		if err := conn.(*net.TCPConn).SetReadBuffer(receiveBuffer); err != nil {
+			return err
+		}
+		<-timedOut
+		received, _ = io.Copy(io.Discard, conn) // a reset ends it
+		return conn.Close()
+	})
+	client := NewClient(listener.Addr().String(), secret)
+	defer client.Close()
+	_, err = say(client, strings.Repeat("x", wordBytes), 100*time.Millisecond)
+	require.Error(t, err)
+	close(timedOut)
+	require.NoError(t, server.Wait())
+	require.Less(t, received, int64(wordBytes))
+}
