--- a/internal/control/holder/service.go
+++ b/internal/control/holder/service.go
@@ -58,6 +58,9 @@
 	reportSeq  uint32
 	nextReport time.Time
 	nextExpire time.Time
+	// invalidEntries is the number of invalid entries in the list that was read last. Only
+	// readList uses it.
+	invalidEntries int
 }
 
 // NewService returns a service without a table. It creates one when Run finds
@@ -95,6 +98,10 @@
 		return
 	}
 	s.setLeaving(d.Leaving())
+	if d.Invalid != s.invalidEntries {
+		s.cfg.Log.Warn("invalid entries in the instance list", "entries", d.Invalid, "before", s.invalidEntries)
+		s.invalidEntries = d.Invalid
+	}
 }
 
 func (s *Service) setLeaving(leaving map[string]bool) {
--- a/internal/platform/list/list.go
+++ b/internal/platform/list/list.go
@@ -10,8 +10,11 @@
 	"os"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
+
+	"bronzerill/internal/wire/jsonlist"
 )
 
 // Limits for reading the list.
@@ -35,11 +38,16 @@
 	State State  `json:"state"`
 }
 
-// Document is the list in the platform's JSON format.
+// Document is a list.
 type Document struct {
-	Instances []Instance `json:"instances"`
+	Instances []Instance
+	// Invalid is the number of entries that couldn't be decoded. They affect no others.
+	Invalid int
 }
 
+// fieldInstances is the field of the platform's JSON document that lists the instances.
+const fieldInstances = "instances"
+
 // Source provides the current list.
 type Source interface {
 	// Fetch returns the current list.
@@ -104,8 +112,20 @@
 	if len(data) > maxBytes {
 		return Document{}, errors.Errorf("instance list exceeds %d bytes", maxBytes)
 	}
-	var d Document
-	return d, errors.Wrap(json.Unmarshal(data, &d), "decode instance list")
+	split, err := jsonlist.Split(data, fieldInstances)
+	if err != nil {
+		return Document{}, errors.Wrap(err, "decode instance list")
+	}
+	d := Document{Invalid: split.Damaged}
+	for _, entry := range split.Entries {
+		var instance Instance
+		if !utf8.Valid(entry) || json.Unmarshal(entry, &instance) != nil || instance.Name == "" {
+			d.Invalid++
+			continue
+		}
+		d.Instances = append(d.Instances, instance)
+	}
+	return d, nil
 }
 
 // Leaving returns the names of the instances in StateLeaving. It treats unknown states
--- a/internal/router/server/conn.go
+++ b/internal/router/server/conn.go
@@ -39,6 +39,8 @@
 	maxIdleTime = 4 * time.Second
 	// idleMargin is subtracted from the idle timeout that a server announces.
 	idleMargin = time.Second
+	// maxKeepAliveSeconds is the longest idle timeout that is believed, in seconds.
+	maxKeepAliveSeconds = 3600
 	// maxIdleConns is the maximum number of idle connections to one server.
 	maxIdleConns = 16
 	// readBuffer is the size of the read buffer in bytes: a few events of a stream,
@@ -201,7 +203,7 @@
 		if err != nil {
 			return now
 		}
-		return now.Add(time.Duration(seconds)*time.Second - idleMargin)
+		return now.Add(time.Duration(min(seconds, maxKeepAliveSeconds))*time.Second - idleMargin)
 	}
 	return farFuture
 }
--- a/internal/run/router/list.go
+++ b/internal/run/router/list.go
@@ -55,6 +55,8 @@
 	// retryAt is when the list may be read again after a failure.
 	retryAt time.Time
 	failing bool
+	// invalid is the number of invalid entries in the list that was read last.
+	invalid int
 }
 
 func newListPoller(r *Router) *listPoller {
@@ -175,6 +177,10 @@
 		p.failing = false
 		p.router.log.Info("list of servers regained", "address", address, "broken-entries", invalid)
 	}
+	if invalid != p.invalid {
+		p.router.log.Warn("broken entries in the list of servers", "address", address, "broken-entries", invalid, "before", p.invalid)
+		p.invalid = invalid
+	}
 	// The age counts from the start of the call.
 	list, _ = p.router.versions.mark(time.Now(), list)
 	p.apply(time.Now(), now, list, ownSource)
