--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -250,6 +250,8 @@
 	info := e.cfg.Dialect.ParseResponse(response.Status, response.Header)
 	e.applyStatements(info)
 	if info.NotRun || info.Misdirected {
+		// The body isn't read, so the connection isn't used again. The next attempt has the same ID,
+		// and the server might write this refusal once more.
 		return e.refusedAttempt(info)
 	}
 	e.runs++
@@ -317,7 +319,6 @@
 		FetchFrom:   e.choice.FetchFrom,
 		Customer:    e.customerName(),
 	}
-	id := e.request.ID
 	return server.Call{
 		Addr:      e.choice.Addr,
 		Method:    e.r.Method,
@@ -328,13 +329,22 @@
 		FreshConn: !e.route.MayRepeat(),
 		Witness:   !e.statesStartTime(),
 		MaySend:   e.maySend,
-		Matches: func(h http.Header) bool {
-			responseID := e.cfg.Dialect.ParseResponse(0, h).ID
-			return responseID == "" || responseID == id
-		},
+		Match:     func(h http.Header) server.Match { return e.match(h, e.request.ID) },
 	}
 }
 
+// match compares the request that a response names with the one that was sent. Neither need name
+// one.
+func (e *exchange) match(h http.Header, sent string) server.Match {
+	switch e.cfg.Dialect.ParseResponse(0, h).ID {
+	case sent:
+		return server.MatchOwn
+	case "":
+		return server.MatchNone
+	}
+	return server.MatchOther
+}
+
 // forwardResponse reads a response that isn't a stream and forwards it.
 func (e *exchange) forwardResponse(ctx context.Context, response *server.Response, now time.Time, latency *time.Duration) attempt {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
--- a/internal/router/caller/unframed.go
+++ b/internal/router/caller/unframed.go
@@ -58,7 +58,7 @@
 	call := e.cfg.Dialect.StatusCall(e.service, e.choice.ID)
 	call.Addr = e.choice.Addr
 	// A late response to a request has its ID.
-	call.Matches = func(h http.Header) bool { return e.cfg.Dialect.ParseResponse(0, h).ID == "" }
+	call.Match = func(h http.Header) server.Match { return e.match(h, "") }
 	response, err := do(ctx, call)
 	if err != nil {
 		return ServerStatus{}, err
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -33,10 +33,24 @@
 	// MaySend is called once the connection is open. If it returns an error, nothing is sent.
 	// Without it, the call is always sent.
 	MaySend func() error
-	// Matches reports whether a response with these headers belongs to this call.
-	Matches func(http.Header) bool
+	// Match reports to which call a response with these headers belongs.
+	Match func(http.Header) Match
 }
 
+// Match states to which call a response belongs.
+type Match int
+
+// The values of Match.
+const (
+	// MatchOwn is a response to the call.
+	MatchOwn Match = iota
+	// MatchOther is a response to another call on the connection. It is skipped.
+	MatchOther
+	// MatchNone is a response that names no call. It may answer any, or none, so the call fails
+	// and its connection is closed.
+	MatchNone
+)
+
 // Error is the error of a call that got no response.
 type Error struct {
 	// Run is RunNot only if no byte of the request was sent. Otherwise the server may
@@ -138,7 +152,7 @@
 	request := newRequest(call)
 	stop := context.AfterFunc(ctx, func() { _ = conn.reset() })
 	write := startWrite(conn, request, len(call.Body))
-	response, err := c.readResponse(conn, request, call.Matches) //nolint:bodyclose // the body of the returned Response closes it
+	response, err := c.readResponse(conn, request, call.Match) //nolint:bodyclose // the body of the returned Response closes it
 	if err != nil {
 		stop()
 		_ = conn.reset()
@@ -220,7 +234,7 @@
 }
 
 // readResponse returns the response that belongs to the call and skips others.
-func (c *Client) readResponse(conn *clientConn, request *http.Request, matches func(http.Header) bool) (*http.Response, error) {
+func (c *Client) readResponse(conn *clientConn, request *http.Request, match func(http.Header) Match) (*http.Response, error) {
 	foreign := 0
 	conn.limited.remaining = maxHeadBytes
 	for {
@@ -232,8 +246,11 @@
 			continue
 		}
 		conn.limited.remaining = unlimited
-		if matches(response.Header) {
+		switch match(response.Header) {
+		case MatchOwn:
 			return response, nil
+		case MatchNone:
+			return nil, errors.Errorf("response with status %d names no request", response.StatusCode)
 		}
 		foreign++
 		if foreign > maxForeignResponses {
--- a/internal/router/server/client_test.go
+++ b/internal/router/server/client_test.go
@@ -85,7 +85,12 @@
 	return Call{
 		Addr: addr, Method: http.MethodPost, Target: "/a/b?c=%2F", Host: "h.example",
 		Header: http.Header{"X-Id": {"1"}}, Body: []byte("body"),
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == "" || h.Get("X-Id") == "1" },
+		Match: func(h http.Header) Match {
+			if id := h.Get("X-Id"); id != "" && id != "1" {
+				return MatchOther
+			}
+			return MatchOwn
+		},
 	}
 }
 
--- a/internal/router/server/giveup_test.go
+++ b/internal/router/server/giveup_test.go
@@ -53,7 +53,7 @@
 		{"timeout before the response", "", func(t *testing.T, call Call) {
 			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 			defer cancel()
-			_, err := newTestClient().Do(ctx, call) //nolint:bodyclose // there is no response
+			_, err := newTestClient().Do(ctx, call)
 			require.Error(t, err)
 		}},
 		{"response that isn't read to its end", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nok", func(t *testing.T, call Call) {
@@ -63,7 +63,7 @@
 			require.NoError(t, response.Body.Close())
 		}},
 		{"bytes that are no response", "nonsense\r\n\r\n", func(t *testing.T, call Call) {
-			_, err := newTestClient().Do(testContext(t), call) //nolint:bodyclose // there is no response
+			_, err := newTestClient().Do(testContext(t), call)
 			require.Error(t, err)
 		}},
 	}
