--- a/internal/run/router/link_test.go
+++ b/internal/run/router/link_test.go
@@ -23,6 +23,8 @@
 	held     int
 	released chan struct{}
 	conns    []net.Conn
+	// cut is set while nothing gets to the router.
+	cut bool
 }
 
 func (c *cluster) linkAddr(router int) string {
@@ -45,7 +47,9 @@
 			if err != nil {
 				return nil
 			}
-			_, _ = digests.WriteTo(buffer[:n], targetAddr) // the router may be down
+			if !k.isCut() {
+				_, _ = digests.WriteTo(buffer[:n], targetAddr) // the router may be down
+			}
 		}
 	})
 	tasks.Go(func() error {
@@ -77,6 +81,25 @@
 	k.holdIf, k.released = holdIf, make(chan struct{})
 }
 
+// setCut cuts the router off from the others, or reconnects it. What they send meanwhile is lost.
+func (k *link) setCut(cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cut = cut
+	if cut {
+		for _, conn := range k.conns {
+			_ = conn.Close()
+		}
+		k.conns = nil
+	}
+}
+
+func (k *link) isCut() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cut
+}
+
 // stopHolding lets new bytes through, but not those that are held up already. It returns the
 // number of connections that are held up.
 func (k *link) stopHolding() int {
@@ -111,7 +134,7 @@
 
 func (k *link) relay(tasks *errgroup.Group, from net.Conn) {
 	to, err := net.Dial("tcp4", k.target)
-	if err != nil {
+	if err != nil || k.isCut() {
 		_ = from.Close()
 		return
 	}
@@ -120,7 +143,8 @@
 	k.mu.Unlock()
 	tasks.Go(func() error {
 		_, _ = io.Copy(from, to) // ends with either connection
-		return from.Close()
+		_ = from.Close()         // may be closed already
+		return nil
 	})
 	buffer := make([]byte, 1<<16)
 	for {
--- a/internal/run/router/rejoin_test.go
+++ b/internal/run/router/rejoin_test.go
@@ -21,7 +21,11 @@
 }
 
 func newRejoinCluster(t *testing.T, versions ...string) *rejoinCluster {
-	c := &rejoinCluster{cluster: newCluster(t, 4, 3), streams: map[string]*httptest.Server{"v1": streamServer(t, "v1"), "v2": streamServer(t, "v2")}}
+	return withStreamServers(t, newCluster(t, 4, 3), versions...)
+}
+
+func withStreamServers(t *testing.T, routers *cluster, versions ...string) *rejoinCluster {
+	c := &rejoinCluster{cluster: routers, streams: map[string]*httptest.Server{"v1": streamServer(t, "v1"), "v2": streamServer(t, "v2")}}
 	for _, r := range c.routers {
 		c.folders = append(c.folders, r.settings.Router.DataFolder)
 	}
@@ -43,16 +47,29 @@
 
 // setVersions lists a server of each version.
 func (c *rejoinCluster) setVersions(versions ...string) {
+	c.extraServers.Store(c.entries(versions))
+}
+
+// entries returns the entries of a list with a server of each version.
+func (c *rejoinCluster) entries(versions []string) string {
 	var entries strings.Builder
 	for _, version := range versions {
 		entries.WriteString(streamEntry("s-"+version, version, c.streams[version]))
 	}
-	c.extraServers.Store(entries.String())
+	return entries.String()
 }
 
 // awaitList waits until all routers use a list with these versions, which are noted.
 func (c *rejoinCluster) awaitList(versions ...string) {
+	c.awaitListExceptAt(-1, versions...)
+}
+
+// awaitListExceptAt is awaitList for all routers but one.
+func (c *rejoinCluster) awaitListExceptAt(router int, versions ...string) {
 	for i := range c.routers {
+		if i == router {
+			continue
+		}
 		require.Eventually(c.t, func() bool {
 			var listed []string
 			list, _ := c.routers[i].list.current()
