--- a/cmd/bronzerill-soak/killall.go
+++ b/cmd/bronzerill-soak/killall.go
@@ -65,8 +65,13 @@
 
 // beginStreams sends requests for streams to all routers, and returns while these run.
 func (c *callers) beginStreams(group *errgroup.Group, random *rand.Rand) {
+	c.beginStreamsAt(group, func() int { return random.IntN(len(c.fleet.nodes)) })
+}
+
+// beginStreamsAt is beginStreams for the routers that pick returns.
+func (c *callers) beginStreamsAt(group *errgroup.Group, pick func() int) {
 	for range killedStreams {
-		router := random.IntN(len(c.fleet.nodes))
+		router := pick()
 		group.Go(func() error {
 			client := &http.Client{Timeout: 6 * time.Second}
 			defer client.CloseIdleConnections()
--- a/cmd/bronzerill-soak/operator.go
+++ b/cmd/bronzerill-soak/operator.go
@@ -23,6 +23,8 @@
 	// acknowledged.
 	number, ackedNumber int
 	ackCount            atomic.Int64
+	// heldCount is the number of orders for zones that were held up.
+	heldCount int
 }
 
 // document returns a declared state with the current number.
@@ -50,7 +52,7 @@
 	o.number++
 	for end := time.Now().Add(timeout); time.Now().Before(end); {
 		for i := range o.fleet.nodes {
-			if status, _, err := o.send(i, http.MethodPut, o.document()); err == nil && status == http.StatusOK {
+			if status, _, err := o.send(i, http.MethodPut, standin.ConfigPath, o.document()); err == nil && status == http.StatusOK {
 				o.ackedNumber = o.number
 				o.ackCount.Add(1)
 				return true
@@ -63,8 +65,8 @@
 
 // send sends a request to the operator port of a router and returns status and body of
 // the response.
-func (o *operator) send(router int, method, body string) (int, string, error) {
-	request, err := http.NewRequest(method, "http://"+o.fleet.addr(router, "operators")+standin.ConfigPath, strings.NewReader(body))
+func (o *operator) send(router int, method, path, body string) (int, string, error) {
+	request, err := http.NewRequest(method, "http://"+o.fleet.addr(router, "operators")+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", errors.Wrap(err, "build operator request")
 	}
@@ -91,7 +93,7 @@
 // before the read. It reports whether the router returned a state.
 func (o *operator) read(router int) bool {
 	minNumber := o.ackedNumber
-	status, body, err := o.send(router, http.MethodGet, "")
+	status, body, err := o.send(router, http.MethodGet, standin.ConfigPath, "")
 	if err != nil || status != http.StatusOK {
 		return false
 	}
--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -61,11 +61,18 @@
 			workers.Go(func() error { c.run(callersCtx, random); return nil })
 		}
 		workers.Go(func() error { o.run(callersCtx, rand.New(rand.NewPCG(cfg.seed, 50))); return nil })
+		w.hasStrays.Store(true)
 		injectFaults(ctx, cfg, f, w)
-		if err := killAllInTurn(cfg, f, w, c, rand.New(rand.NewPCG(cfg.seed, 4))); err != nil {
+		w.hasStrays.Store(false)
+		err := killAllInTurn(cfg, f, w, c, rand.New(rand.NewPCG(cfg.seed, 4)))
+		if err == nil {
+			err = stopInRelease(cfg, f, w, c, rand.New(rand.NewPCG(cfg.seed, 6)))
+		}
+		if err != nil {
 			stopCallers()
 			return nil, "", err
 		}
+		w.overtakeOrders(o, rand.New(rand.NewPCG(cfg.seed, 5)))
 		statements := new(errgroup.Group)
 		statements.Go(func() error { w.stateInTurn(rand.New(rand.NewPCG(cfg.seed, 3))); return nil })
 		w.limitServers(rand.New(rand.NewPCG(cfg.seed, 2)))
@@ -91,11 +98,11 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.violations, fmt.Sprintf("%s, %d changes", c, o.ackCount.Load()), nil
+	return w.violations, fmt.Sprintf("%s, %d changes, %d orders held up", c, o.ackCount.Load(), o.heldCount), nil
 }
 
 // injectFaults injects the seed's faults, some of them at the same time. The kinds 0 to
-// 4 are faults of a router, 5 to 8 and 12 of a server, and 9 to 11 of a link.
+// 4 are faults of a router, 5 to 8 and 12 of a server, 9 to 11 of a link, and 13 of the list.
 func injectFaults(ctx context.Context, cfg config, f *fleet, w *world) {
 	random := rand.New(rand.NewPCG(cfg.seed, 1))
 	group := new(errgroup.Group)
@@ -104,8 +111,13 @@
 	for end := time.Now().Add(cfg.faultTime); time.Now().Before(end) && ctx.Err() == nil; {
 		n := f.nodes[random.IntN(len(f.nodes))]
 		b := w.backends[random.IntN(len(w.backends))]
-		kind, duration := random.IntN(13), time.Duration(300+random.IntN(1500))*time.Millisecond
+		kind, duration := random.IntN(14), time.Duration(300+random.IntN(1500))*time.Millisecond
+		odd := oddEntries[random.IntN(len(oddEntries))]
 		group.Go(func() error {
+			if kind == 13 {
+				w.oddEntry.Store(&odd)
+				return nil
+			}
 			if kind >= 5 && kind < 9 || kind == 12 {
 				injectServerFault(kind, w, b, duration)
 				return nil
--- a/cmd/bronzerill-soak/process.go
+++ b/cmd/bronzerill-soak/process.go
@@ -52,6 +52,12 @@
 	}
 }
 
+func (b *backend) currentVersion() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.version
+}
+
 func (b *backend) currentProcess() *process {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -82,18 +88,38 @@
 	end func()
 }
 
-// beginResponse sends the header of a response that was set on rw.
-func beginResponse(rw http.ResponseWriter, id string) (response, error) {
+// strayShare is one in how many responses follow a refusal of another request.
+const strayShare = 6
+
+// strayRefusal returns what a faulty server writes before the response to a request: mostly nothing,
+// else the refusal of an earlier request once more, or one that names no request.
+func strayRefusal(id, earlier string) string {
+	switch hashOf("stray "+id) % (2 * strayShare) {
+	case 0:
+		return standin.Refusal(earlier)
+	case 1:
+		return standin.Refusal("")
+	}
+	return ""
+}
+
+func hashOf(id string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
-	if h.Sum32()%unframedShare > 0 {
+	return h.Sum32()
+}
+
+// beginResponse sends the header of a response that was set on rw, after a stray one if that isn't
+// empty.
+func beginResponse(rw http.ResponseWriter, id, stray string) (response, error) {
+	if hashOf(id)%unframedShare > 0 && stray == "" {
 		return response{rw, func() { _ = http.NewResponseController(rw).Flush() }, func() {}}, nil
 	}
 	conn, _, err := http.NewResponseController(rw).Hijack()
 	if err != nil {
 		return response{}, err
 	}
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+	_, _ = io.WriteString(conn, stray+"HTTP/1.1 200 OK\r\n")
 	_ = rw.Header().Write(conn)
 	_, err = io.WriteString(conn, "\r\n")
 	return response{conn, func() {}, func() { _ = conn.Close() }}, err
--- a/cmd/bronzerill-soak/proxy.go
+++ b/cmd/bronzerill-soak/proxy.go
@@ -21,8 +21,10 @@
 	delay atomic.Int64
 	// blocked holds the directions, as bits, in which no data passes.
 	blocked atomic.Int32
-	mu      sync.Mutex
-	conns   map[net.Conn]bool
+	// held is what is held up on its way to the target, nil if nothing is.
+	held  atomic.Pointer[heldOrder]
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
 // Directions of a connection, as bits: forward is toward the target.
@@ -80,6 +82,9 @@
 		for p.blocked.Load()&direction != 0 {
 			time.Sleep(10 * time.Millisecond)
 		}
+		if direction == forward {
+			p.held.Load().await(buffer[:n])
+		}
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
@@ -118,6 +123,7 @@
 // close stops listening and resets every open connection.
 func (p *proxy) close() {
 	p.blocked.Store(0)
+	p.held.Load().release()
 	_ = p.listener.Close()
 	p.resetAll()
 }
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -21,8 +21,8 @@
 
 // backend is one stand-in server behind a proxy that injects faults.
 type backend struct {
-	id, service string
-	proxy       *proxy
+	id, service, zone string
+	proxy             *proxy
 	// target is the address at which its processes listen.
 	target  string
 	mu      sync.Mutex
@@ -35,6 +35,8 @@
 	// version is the version of the software. Streams of several versions don't fit together.
 	version string
 	limit   statedLimit
+	// lastID is the ID of the request that was received last.
+	lastID atomic.Pointer[string]
 	// pause and leavingSoon are what the server states, nil if it doesn't.
 	pause, leavingSoon atomic.Pointer[statement]
 }
@@ -53,6 +55,14 @@
 	sentTo sync.Map
 	// violations describes the violated guarantees.
 	violations []string
+	// outSince is when each zone was acknowledged to be out, and arrivals counts the requests
+	// that reached each zone.
+	outSince map[string]time.Time
+	arrivals map[string]int
+	// oddEntry is an entry of another writer in the list, nil if there is none.
+	oddEntry atomic.Pointer[string]
+	// hasStrays is set while servers write refusals of other requests before responses.
+	hasStrays atomic.Bool
 }
 
 // drainGrace is how long a server may still get requests after the list shows it as
@@ -61,7 +71,7 @@
 
 // newWorld starts three servers of each service, and the server list.
 func newWorld(cfg config) (*world, error) {
-	w := &world{cfg: cfg, runs: make(map[string]int)}
+	w := &world{cfg: cfg, runs: make(map[string]int), outSince: make(map[string]time.Time), arrivals: make(map[string]int)}
 	for i := range 6 {
 		service := "guides"
 		if i >= 3 {
@@ -89,7 +99,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	b := &backend{id: id, service: service, version: versions[0]}
+	b := &backend{id: id, service: service, zone: zoneName(len(w.backends)), version: versions[0]}
 	if w.cfg.hasMixedVersions() {
 		b.version = versions[len(w.backends)%len(versions)]
 	}
@@ -111,17 +121,21 @@
 // serveList serves the platform's server list.
 func (w *world) serveList(rw http.ResponseWriter, _ *http.Request) {
 	var servers []placement.Server
-	for i, b := range w.backends {
+	for _, b := range w.backends {
 		b.mu.Lock()
 		if !b.unlisted {
 			servers = append(servers, placement.Server{
-				ID: b.process.id, Service: b.service, Addr: b.proxy.addr, Zone: fmt.Sprintf("zone-%d", i%3), Slots: 48, Leaving: b.leaving, Version: b.version,
+				ID: b.process.id, Service: b.service, Addr: b.proxy.addr, Zone: b.zone, Slots: 48, Leaving: b.leaving, Version: b.version,
 				Born: b.process.born,
 			})
 		}
 		b.mu.Unlock()
 	}
-	_, _ = rw.Write(standin.List(servers))
+	list := standin.List(servers)
+	if odd := w.oddEntry.Load(); odd != nil {
+		list = standin.InsertEntry(list, *odd)
+	}
+	_, _ = rw.Write(list)
 }
 
 // startLeaving marks a server as leaving, unless all others of its service are already
@@ -193,7 +207,7 @@
 	}
 	id, expected, lastEvent := standin.ReadRequestHeaders(r)
 	if expected != p.id && strings.HasPrefix(expected, b.id) {
-		rw.WriteHeader(http.StatusMisdirectedRequest)
+		standin.RefuseMisdirected(rw, id)
 		return
 	}
 	if expected != p.id {
@@ -208,6 +222,7 @@
 		w.addViolation("request %s reached %s more than %s after it started leaving", id, b.id, drainGrace)
 	}
 	now := time.Now()
+	w.checkZone(b, id, now)
 	b.stateLeaving(w, rw, id, now)
 	if b.refuseInPause(w, rw, id, now) {
 		return
@@ -227,7 +242,11 @@
 			parts = append(parts, eventText(event, path.Base(r.URL.Path), version))
 		}
 	}
-	response, err := beginResponse(rw, id)
+	stray := ""
+	if earlier := b.lastID.Swap(&id); earlier != nil && w.hasStrays.Load() {
+		stray = strayRefusal(id, *earlier)
+	}
+	response, err := beginResponse(rw, id, stray)
 	if err != nil {
 		return
 	}
