--- a/config.go
+++ b/config.go
@@ -51,6 +51,39 @@
 	Removals  []Removal  `json:"removals,omitempty" toml:"remove" msgpack:"removals,omitempty"`
 }
 
+// Entity identifies an entity of the configuration.
+type Entity struct {
+	Kind EntityKind
+	Name string
+}
+
+// Entities returns the entities that are written or removed.
+func (c Changes) Entities() []Entity {
+	var list []Entity
+	for _, z := range c.Zones {
+		list = append(list, Entity{EntityZone, z.Name})
+	}
+	for _, p := range c.Pools {
+		list = append(list, Entity{EntityPool, p.Name})
+	}
+	for _, u := range c.Customers {
+		list = append(list, Entity{EntityCustomer, u.Name})
+	}
+	for _, p := range c.Policies {
+		list = append(list, Entity{EntityPolicy, p.Name})
+	}
+	for _, o := range c.Orders {
+		list = append(list, Entity{EntityOrder, o.Name})
+	}
+	for _, s := range c.Suspects {
+		list = append(list, Entity{EntitySuspect, s.Name})
+	}
+	for _, r := range c.Removals {
+		list = append(list, Entity{r.Kind, r.Name})
+	}
+	return list
+}
+
 // Config is an immutable configuration. The zero value is the empty
 // configuration at revision 0.
 type Config struct {
@@ -241,6 +274,32 @@
 	return d
 }
 
+// ChangedAt returns the revision at which an entity was written or removed last. It is 0 if that isn't
+// known: the entity never existed, or its removal is no longer retained.
+func (c *Config) ChangedAt(entity Entity) uint64 {
+	switch {
+	case !c.has(entity.Kind, entity.Name):
+	case entity.Kind == EntityZone:
+		return c.zones[entity.Name].Revision
+	case entity.Kind == EntityPool:
+		return c.pools[entity.Name].Revision
+	case entity.Kind == EntityCustomer:
+		return c.customers[entity.Name].Revision
+	case entity.Kind == EntityPolicy:
+		return c.policies[entity.Name].Revision
+	case entity.Kind == EntityOrder:
+		return c.orders[entity.Name].Revision
+	case entity.Kind == EntitySuspect:
+		return c.suspects[entity.Name].Revision
+	}
+	for _, r := range slices.Backward(c.removals) {
+		if r.Kind == entity.Kind && r.Name == entity.Name {
+			return r.Revision
+		}
+	}
+	return 0
+}
+
 func (c *Config) has(kind EntityKind, name string) bool {
 	ok := false
 	switch kind {
--- a/internal/control/holder/service.go
+++ b/internal/control/holder/service.go
@@ -28,6 +28,7 @@
 // Group is the replicated log that the service uses.
 type Group interface {
 	Propose(ctx context.Context, command []byte) (any, error)
+	Enqueue(ctx context.Context, term uint64, command []byte) (await func() (any, error), err error)
 	HasLease(now time.Time) bool
 	Status(now time.Time) replica.Status
 }
@@ -61,11 +62,14 @@
 	// invalidEntries is the number of invalid entries in the list that was read last. Only
 	// readList uses it.
 	invalidEntries int
+	tickets        ticketOrder
 }
 
 // NewService returns a service without a table. It creates one when Run finds
 // that this replica is the leader.
-func NewService(cfg ServiceConfig) *Service { return &Service{cfg: cfg} }
+func NewService(cfg ServiceConfig) *Service {
+	return &Service{cfg: cfg, tickets: newTicketOrder()}
+}
 
 // Run maintains the tables until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
@@ -185,7 +189,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	value, err := s.cfg.Group.Propose(ctx, data)
+	var value any
+	if c.Ticket != nil {
+		value, err = s.proposeTicket(ctx, c.Ticket.Ticket, data)
+	} else {
+		value, err = s.cfg.Group.Propose(ctx, data)
+	}
 	if err != nil {
 		return state.Result{}, err
 	}
