--- a/internal/router/server/giveup_test.go
+++ b/internal/router/server/giveup_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,21 +21,31 @@
 	received int64
 }
 
-// receiveBuffer is so small that most of a call stays with its sender.
 const receiveBuffer = 4 << 10
 
-func startSlowReader(t *testing.T, response string) *slowReader {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// listenWithSmallBuffer listens with a receive buffer that takes a small part of a call. The rest stays
+// with the sender's kernel. The connections inherit it, so that no larger window is ever announced.
+func listenWithSmallBuffer(t *testing.T) net.Listener {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		return errors.Join(err, optionErr)
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return listener
+}
+
+func startSlowReader(t *testing.T, response string) *slowReader {
+	listener := listenWithSmallBuffer(t)
 	s := &slowReader{listener: listener, release: make(chan struct{})}
 	s.group.Go(func() error {
 		conn, err := listener.Accept()
 		if err != nil {
 			return err
 		}
-		if err := conn.(*net.TCPConn).SetReadBuffer(receiveBuffer); err != nil {
-			return err
-		}
 		send(conn, response)
 		<-s.release
 		s.received, _ = io.Copy(io.Discard, conn) // a reset ends it
--- a/internal/wire/netrpc/netrpc_test.go
+++ b/internal/wire/netrpc/netrpc_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,13 +102,28 @@
 	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the server closes the connection")
 }
 
+const receiveBuffer = 4 << 10
+
+// listenWithSmallBuffer listens with a receive buffer that takes a small part of a call. The rest stays
+// with the sender's kernel. The connections inherit it, so that no larger window is ever announced.
+func listenWithSmallBuffer(t *testing.T) net.Listener {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		return errors.Join(err, optionErr)
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return listener
+}
+
 // Guards against calls that arrive after they timed out (review/1).
 func TestCallThatTimedOutIsNotDeliveredLater(t *testing.T) {
-	// The receive buffer takes a small part of the call, and the sender's kernel the rest.
-	const wordBytes, receiveBuffer = 64 << 10, 4 << 10
+	const wordBytes = 64 << 10
 	secret := Secret(nil)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	listener := listenWithSmallBuffer(t)
 	defer func() { require.NoError(t, listener.Close()) }()
 	timedOut := make(chan struct{})
 	received := int64(0)
@@ -119,16 +136,13 @@
 		if err := secret.handshake(conn, "server", "client"); err != nil {
 			return err
 		}
-		if err := conn.(*net.TCPConn).SetReadBuffer(receiveBuffer); err != nil {
-			return err
-		}
 		<-timedOut
 		received, _ = io.Copy(io.Discard, conn) // a reset ends it
 		return conn.Close()
 	})
 	client := NewClient(listener.Addr().String(), secret)
 	defer client.Close()
-	_, err = say(client, strings.Repeat("x", wordBytes), 100*time.Millisecond)
+	_, err := say(client, strings.Repeat("x", wordBytes), 100*time.Millisecond)
 	require.Error(t, err)
 	close(timedOut)
 	require.NoError(t, server.Wait())
