--- a/internal/control/holder/rpc.go
+++ b/internal/control/holder/rpc.go
@@ -53,9 +53,9 @@
 
 // Register registers a new process of an agent and returns its generation.
 func (r *RPC) Register(req *control.RegisterRequest, reply *control.RegisterReply) error {
-	result, failure := r.propose(state.Command{Register: &state.Register{Agent: req.Agent}})
-	reply.Failure = failure
-	reply.Generation = result.Generation
+	generation, err := r.service.register(context.Background(), req.Agent, req.Process)
+	reply.Failure = r.failure(err)
+	reply.Generation = generation
 	return nil
 }
 
--- a/internal/control/holder/service.go
+++ b/internal/control/holder/service.go
@@ -63,6 +63,7 @@
 	// readList uses it.
 	invalidEntries int
 	tickets        ticketOrder
+	registrations  registrations
 }
 
 // NewService returns a service without a table. It creates one when Run finds
--- a/internal/control/holder/ticketorder_test.go
+++ b/internal/control/holder/ticketorder_test.go
@@ -58,7 +58,7 @@
 
 func newTicketService() (*Service, *fakeGroup) {
 	group := &fakeGroup{machine: state.NewMachine(), term: 1}
-	return NewService(ServiceConfig{Group: group, Machine: group.machine, Clock: time.Now, Log: hclog.NewNullLogger()}), group
+	return NewService(ServiceConfig{Group: group, Machine: group.machine, Clock: time.Now, Log: hclog.NewNullLogger(), LeaderAddr: func(string) string { return "" }}), group
 }
 
 func (s *Service) submit(number uint64, changes bronzerill.Changes) bronzerill.Kind {
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -42,12 +43,14 @@
 
 // Role is a running agent.
 type Role struct {
-	cfg        Config
-	settings   file.Agent
-	renewer    *wire.LeaseRenewer
-	server     *entry.Server
-	group      *errgroup.Group
-	clock      func() time.Time
+	cfg      Config
+	settings file.Agent
+	renewer  *wire.LeaseRenewer
+	server   *entry.Server
+	group    *errgroup.Group
+	clock    func() time.Time
+	// process is the ID of this process. It is the same in all attempts to register.
+	process    string
 	generation atomic.Uint64
 	// registeredAt is when this process became the only writer of the server.
 	registeredAt atomic.Pointer[time.Time]
@@ -74,7 +77,7 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	r := &Role{cfg: cfg, settings: settings, group: group, clock: clock.now}
+	r := &Role{cfg: cfg, settings: settings, group: group, clock: clock.now, process: uuid.NewString()}
 	r.renewer = wire.NewLeaseRenewer(wire.LeaseRenewerConfig{
 		Client:          cfg.Client,
 		Holder:          "agent/" + settings.Server,
@@ -199,7 +202,7 @@
 func (r *Role) register(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	return r.cfg.Client.Register(ctx, r.settings.Server)
+	return r.cfg.Client.Register(ctx, r.settings.Server, r.process)
 }
 
 // status returns the state and the load of the server for a lease renewal.
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -40,6 +40,7 @@
 	"control.RenewRequest":       control.RenewRequest{},
 	"control.RenewReply":         control.RenewReply{},
 	"control.RegisterRequest":    control.RegisterRequest{},
+	"control.RegisterRequest.2":  control.RegisterRequest{},
 	"control.RegisterReply":      control.RegisterReply{},
 	"control.ClaimRequest":       control.ClaimRequest{},
 	"control.ClaimReply":         control.ClaimReply{},
@@ -110,6 +111,7 @@
 		}
 		message.(*peer.Digest).Extension = peer.Extension{}
 	},
+	"control.RegisterRequest":  func(message any) { message.(*control.RegisterRequest).Process = "" },
 	"neighbour.ProposeRequest": func(message any) { message.(*peer.ProposeRequest).Zone = peer.ZoneRevision{} },
 	"neighbour.ReadRequest":    func(message any) { message.(*peer.ReadRequest).Zone = "" },
 	"neighbour.ReadReply":      func(message any) { message.(*peer.ReadReply).Zone = peer.ZoneRevision{} },
--- a/internal/wire/control/ledger.go
+++ b/internal/wire/control/ledger.go
@@ -40,9 +40,9 @@
 	return err
 }
 
-// Register registers a new agent process and returns its generation.
-func (c *Client) Register(ctx context.Context, agent string) (uint64, error) {
-	r, err := Call(ctx, c, "Register", &RegisterRequest{agent}, func() *RegisterReply { return &RegisterReply{} })
+// Register registers a new agent process, which has an ID of its own, and returns its generation.
+func (c *Client) Register(ctx context.Context, agent, process string) (uint64, error) {
+	r, err := Call(ctx, c, "Register", &RegisterRequest{Agent: agent, Process: process}, func() *RegisterReply { return &RegisterReply{} })
 	return r.Generation, err
 }
 
--- a/internal/wire/control/message.go
+++ b/internal/wire/control/message.go
@@ -126,7 +126,11 @@
 }
 
 // RegisterRequest registers a new agent process.
-type RegisterRequest struct{ Agent string }
+type RegisterRequest struct {
+	Agent string
+	// Process identifies the process. It is empty in earlier builds.
+	Process string
+}
 
 // RegisterReply contains the generation of the process.
 type RegisterReply struct {
