--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"bronzerill/platform/standin"
 )
 
 // config configures the run of one seed.
@@ -112,7 +114,7 @@
 		n := f.nodes[random.IntN(len(f.nodes))]
 		b := w.backends[random.IntN(len(w.backends))]
 		kind, duration := random.IntN(14), time.Duration(300+random.IntN(1500))*time.Millisecond
-		odd := oddEntries[random.IntN(len(oddEntries))]
+		odd := standin.OddEntries[random.IntN(len(standin.OddEntries))]
 		group.Go(func() error {
 			if kind == 13 {
 				w.oddEntry.Store(&odd)
--- a/config.go
+++ b/config.go
@@ -277,20 +277,8 @@
 // ChangedAt returns the revision at which an entity was written or removed last. It is 0 if that isn't
 // known: the entity never existed, or its removal is no longer retained.
 func (c *Config) ChangedAt(entity Entity) uint64 {
-	switch {
-	case !c.has(entity.Kind, entity.Name):
-	case entity.Kind == EntityZone:
-		return c.zones[entity.Name].Revision
-	case entity.Kind == EntityPool:
-		return c.pools[entity.Name].Revision
-	case entity.Kind == EntityCustomer:
-		return c.customers[entity.Name].Revision
-	case entity.Kind == EntityPolicy:
-		return c.policies[entity.Name].Revision
-	case entity.Kind == EntityOrder:
-		return c.orders[entity.Name].Revision
-	case entity.Kind == EntitySuspect:
-		return c.suspects[entity.Name].Revision
+	if revision, ok := c.writtenAt(entity); ok {
+		return revision
 	}
 	for _, r := range slices.Backward(c.removals) {
 		if r.Kind == entity.Kind && r.Name == entity.Name {
@@ -301,22 +289,32 @@
 }
 
 func (c *Config) has(kind EntityKind, name string) bool {
-	ok := false
-	switch kind {
+	_, ok := c.writtenAt(Entity{kind, name})
+	return ok
+}
+
+// writtenAt returns the revision at which an entity was written last, if it exists.
+func (c *Config) writtenAt(entity Entity) (revision uint64, ok bool) {
+	switch entity.Kind {
 	case EntityZone:
-		_, ok = c.zones[name]
+		return revisionIn(c.zones, entity.Name)
 	case EntityPool:
-		_, ok = c.pools[name]
+		return revisionIn(c.pools, entity.Name)
 	case EntityCustomer:
-		_, ok = c.customers[name]
+		return revisionIn(c.customers, entity.Name)
 	case EntityPolicy:
-		_, ok = c.policies[name]
+		return revisionIn(c.policies, entity.Name)
 	case EntityOrder:
-		_, ok = c.orders[name]
+		return revisionIn(c.orders, entity.Name)
 	case EntitySuspect:
-		_, ok = c.suspects[name]
+		return revisionIn(c.suspects, entity.Name)
 	}
-	return ok
+	return 0, false
+}
+
+func revisionIn[T interface{ Rev() uint64 }](table map[string]T, name string) (revision uint64, ok bool) {
+	entity, ok := table[name]
+	return entity.Rev(), ok
 }
 
 // writtenSince returns the entities written after the revision, sorted by
--- a/internal/control/holder/registration.go
+++ b/internal/control/holder/registration.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"golang.org/x/sync/singleflight"
+
 	"bronzerill"
 	"bronzerill/internal/control/state"
 )
@@ -17,8 +19,9 @@
 // arrive once more after its sender has given it up, and must not fence the process that runs.
 // It is safe for concurrent use.
 type registrations struct {
-	// turn is held while a process is being registered.
-	turn sync.Mutex
+	// calls merges the calls of one process that are in progress at the same time.
+	calls singleflight.Group
+	mu    sync.Mutex
 	// term is the term to which agents belongs.
 	term   uint64
 	agents map[string]registration
@@ -34,6 +37,8 @@
 
 // find returns what is known of a process. ok is false if it hasn't registered in the term.
 func (r *registrations) find(term uint64, agent, process string) (generation uint64, kind bronzerill.Kind, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	known := r.agents[agent]
 	switch {
 	case term != r.term || process == "":
@@ -46,24 +51,38 @@
 	return 0, bronzerill.KindNone, false
 }
 
-// record stores the newest process of an agent. process is empty if its build doesn't identify it.
+// record stores a process of an agent, unless a newer one has registered meanwhile. process is empty
+// if its build doesn't identify it.
 func (r *registrations) record(term uint64, agent, process string, generation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if term != r.term || r.agents == nil {
 		r.term, r.agents = term, make(map[string]registration)
 	}
-	before := r.agents[agent]
-	replaced := before.replaced
-	if before.process != "" {
-		replaced = append(slices.Clone(replaced), before.process)
+	newest, older := registration{process: process, generation: generation}, r.agents[agent]
+	if older.generation > generation {
+		newest, older = older, newest
+	}
+	replaced := slices.Concat(older.replaced, newest.replaced)
+	if older.process != "" {
+		replaced = append(replaced, older.process)
 	}
-	replaced = replaced[max(0, len(replaced)-maxReplacedProcesses):]
-	r.agents[agent] = registration{process: process, generation: generation, replaced: replaced}
+	newest.replaced = replaced[max(0, len(replaced)-maxReplacedProcesses):]
+	r.agents[agent] = newest
 }
 
 // register registers a process of an agent, once, and returns its generation.
 func (s *Service) register(ctx context.Context, agent, process string) (uint64, error) {
-	s.registrations.turn.Lock()
-	defer s.registrations.turn.Unlock()
+	if process == "" {
+		return s.registerOnce(ctx, agent, process)
+	}
+	generation, err, _ := s.registrations.calls.Do(agent+"\x00"+process, func() (any, error) {
+		return s.registerOnce(ctx, agent, process)
+	})
+	return generation.(uint64), err
+}
+
+func (s *Service) registerOnce(ctx context.Context, agent, process string) (uint64, error) {
 	term := s.cfg.Group.Status(s.cfg.Clock()).Term
 	if generation, kind, ok := s.registrations.find(term, agent, process); ok {
 		if kind != bronzerill.KindNone {
--- a/internal/control/holder/registration_test.go
+++ b/internal/control/holder/registration_test.go
@@ -45,8 +45,24 @@
 
 func TestRegistrationsOfManyProcessesAreBounded(t *testing.T) {
 	var r registrations
-	for range 2 * maxReplacedProcesses {
-		r.record(1, "server-1", uuid.NewString(), 1)
+	for generation := range uint64(2 * maxReplacedProcesses) {
+		r.record(1, "server-1", uuid.NewString(), generation)
 	}
-	require.LessOrEqual(t, len(r.agents["server-1"].replaced), maxReplacedProcesses)
+	require.Len(t, r.agents["server-1"].replaced, maxReplacedProcesses)
+}
+
+// Two processes register at the same time, and the answers come in the other order.
+func TestNewestRegistrationIsRemembered(t *testing.T) {
+	var r registrations
+	r.record(1, "server-1", "second", 5)
+	r.record(1, "server-1", "first", 4)
+	generation, kind, ok := r.find(1, "server-1", "second")
+	require.True(t, ok)
+	require.Equal(t, bronzerill.KindNone, kind)
+	require.EqualValues(t, 5, generation)
+	_, kind, ok = r.find(1, "server-1", "first")
+	require.True(t, ok)
+	require.Equal(t, bronzerill.KindAborted, kind)
+	_, _, ok = r.find(2, "server-1", "second")
+	require.False(t, ok, "another term")
 }
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -64,24 +64,6 @@
 	SelfRepair bool
 }
 
-type proposal struct {
-	data []byte
-	// term is the only term in which the command may be appended. 0 allows any.
-	term   uint64
-	change func(Members) (Members, error)
-	reply  chan proposalResult
-}
-
-type proposalResult struct {
-	value any
-	err   error
-}
-
-type pendingProposal struct {
-	term  uint64
-	reply chan proposalResult
-}
-
 // Status is a replica's view of its group.
 type Status struct {
 	Name     string  `json:"name"`
@@ -197,55 +179,6 @@
 	}
 }
 
-// Propose replicates a command and returns the result of the state machine.
-// After an error of kind no-quorum, the command may still take effect.
-func (n *Node) Propose(ctx context.Context, command []byte) (any, error) {
-	return n.submit(ctx, proposal{data: command, reply: make(chan proposalResult, 1)})
-}
-
-// Enqueue queues a command that may be appended to the log in the given term only. It returns
-// a function that waits for the result as Propose does. Commands are appended in the order in
-// which they were queued.
-func (n *Node) Enqueue(ctx context.Context, term uint64, command []byte) (await func() (any, error), err error) {
-	p := proposal{data: command, term: term, reply: make(chan proposalResult, 1)}
-	if err := n.enqueue(ctx, p); err != nil {
-		return nil, err
-	}
-	return func() (any, error) { return p.await(ctx) }, nil
-}
-
-// ChangeMembers proposes the member list that change derives from the current
-// one. It doesn't wait for the commit.
-func (n *Node) ChangeMembers(ctx context.Context, change func(Members) (Members, error)) error {
-	_, err := n.submit(ctx, proposal{change: change, reply: make(chan proposalResult, 1)})
-	return err
-}
-
-func (n *Node) submit(ctx context.Context, p proposal) (any, error) {
-	if err := n.enqueue(ctx, p); err != nil {
-		return nil, err
-	}
-	return p.await(ctx)
-}
-
-func (n *Node) enqueue(ctx context.Context, p proposal) error {
-	select {
-	case n.proposals <- p:
-		return nil
-	case <-ctx.Done():
-		return bronzerill.Errorf(bronzerill.KindTableFull, "proposal queue is full")
-	}
-}
-
-func (p proposal) await(ctx context.Context) (any, error) {
-	select {
-	case r := <-p.reply:
-		return r.value, r.err
-	case <-ctx.Done():
-		return nil, bronzerill.Errorf(bronzerill.KindNoQuorum, "no quorum answered in time")
-	}
-}
-
 // TransferLeadership starts a transfer of leadership to another voter. It is
 // called before a shutdown.
 func (n *Node) TransferLeadership() {
@@ -322,35 +255,6 @@
 	n.core.Step(now, m)
 }
 
-// drainProposals appends all queued proposals, so that one sync saves them all.
-func (n *Node) drainProposals(now time.Time, first proposal) {
-	n.propose(now, first)
-	for range len(n.proposals) {
-		n.propose(now, <-n.proposals)
-	}
-}
-
-func (n *Node) propose(now time.Time, p proposal) {
-	if p.change != nil {
-		next, err := p.change(n.core.Members())
-		if err == nil {
-			err = n.core.ProposeMembers(now, next)
-		}
-		p.reply <- proposalResult{err: err}
-		return
-	}
-	if p.term != 0 && p.term != n.core.Term() {
-		p.reply <- proposalResult{err: bronzerill.Errorf(bronzerill.KindNotLeader, "the term has ended")}
-		return
-	}
-	index, term, err := n.core.Propose(now, p.data)
-	if err != nil {
-		p.reply <- proposalResult{err: err}
-		return
-	}
-	n.pendingProposals[index] = pendingProposal{term: term, reply: p.reply}
-}
-
 func (n *Node) processReady() error {
 	for {
 		n.mu.Lock()
--- a/internal/control/replica/node_test.go
+++ b/internal/control/replica/node_test.go
@@ -292,3 +292,28 @@
 	g.start(faulty, folder, unwrapped)
 	g.requireTotal(40)
 }
+
+// Guards against a command that was checked in one term and is appended in a later one.
+func TestCommandIsNotAppendedInLaterTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a")
+		defer g.close()
+		g.increment()
+		_, p := g.leader()
+		term := p.node.Status(time.Now()).Term
+		for _, test := range []struct {
+			term uint64
+			want bronzerill.Kind
+		}{{term - 1, bronzerill.KindNotLeader}, {term, bronzerill.KindNone}, {term + 1, bronzerill.KindNotLeader}} {
+			// A term of 0 would allow any.
+			if test.term == 0 {
+				continue
+			}
+			await, err := p.node.Enqueue(t.Context(), test.term, binary.BigEndian.AppendUint64(nil, 1))
+			require.NoError(t, err)
+			_, err = await()
+			require.Equal(t, test.want, bronzerill.KindOf(err))
+		}
+		g.requireTotal(2)
+	})
+}
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -203,14 +203,6 @@
 // isZoneOut reports whether a zone is out now, not when the request arrived.
 func (e *exchange) isZoneOut(zone string) bool { return e.cfg.Routes().IsZoneOut(zone) }
 
-// maySend reports why the request must not be sent to the picked server any more.
-func (e *exchange) maySend() error {
-	if e.isZoneOut(e.choice.Zone) {
-		return bronzerill.Errorf(bronzerill.KindZoneOut, "zone %s of %s is out", e.choice.Zone, e.choice.ID)
-	}
-	return e.cfg.Servers.MaySend(e.cfg.Clock(), e.choice)
-}
-
 // query describes the request for the choice of a server.
 func (e *exchange) query(now time.Time) placement.Query {
 	return placement.Query{
@@ -309,42 +301,6 @@
 	return true
 }
 
-func (e *exchange) newCall(now time.Time) server.Call {
-	options := ForwardOptions{
-		Server:      e.choice.ID,
-		Remaining:   e.deadline.Sub(now),
-		Priority:    e.priority(),
-		HasPriority: e.service.Engine != nil,
-		ResumeAfter: e.lastEventID,
-		FetchFrom:   e.choice.FetchFrom,
-		Customer:    e.customerName(),
-	}
-	return server.Call{
-		Addr:      e.choice.Addr,
-		Method:    e.r.Method,
-		Target:    e.r.RequestURI,
-		Host:      e.r.Host,
-		Header:    e.cfg.Dialect.ForwardHeader(e.r.Header, options),
-		Body:      e.body,
-		FreshConn: !e.route.MayRepeat(),
-		Witness:   !e.statesStartTime(),
-		MaySend:   e.maySend,
-		Match:     func(h http.Header) server.Match { return e.match(h, e.request.ID) },
-	}
-}
-
-// match compares the request that a response names with the one that was sent. Neither need name
-// one.
-func (e *exchange) match(h http.Header, sent string) server.Match {
-	switch e.cfg.Dialect.ParseResponse(0, h).ID {
-	case sent:
-		return server.MatchOwn
-	case "":
-		return server.MatchNone
-	}
-	return server.MatchOther
-}
-
 // forwardResponse reads a response that isn't a stream and forwards it.
 func (e *exchange) forwardResponse(ctx context.Context, response *server.Response, now time.Time, latency *time.Duration) attempt {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -60,7 +60,11 @@
 }
 
 func newTestRouter(t *testing.T, backends ...http.HandlerFunc) *testRouter {
-	router := &testRouter{t: t, logged: &logBuffer{}, streams: &memoryStreams{sole: "v1"}, table: placement.NewTable(placement.Config{Name: "a", Seed: 1})}
+	return newTestRouterWithSeed(t, 1, backends...)
+}
+
+func newTestRouterWithSeed(t *testing.T, seed uint64, backends ...http.HandlerFunc) *testRouter {
+	router := &testRouter{t: t, logged: &logBuffer{}, streams: &memoryStreams{sole: "v1"}, table: placement.NewTable(placement.Config{Name: "a", Seed: seed})}
 	for i, backend := range backends {
 		received := new(atomic.Int32)
 		backendServer := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
--- a/internal/router/caller/repeated_test.go
+++ b/internal/router/caller/repeated_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -177,26 +178,29 @@
 	} {
 		for _, path := range []string{"/once/x", "/stream/x", "/repeatable/x", "/resumable/x"} {
 			t.Run(name+path, func(t *testing.T) {
+				var refused atomic.Int32
 				s := startFaultyServer(t, func(r *http.Request, received map[string]bool) (string, bool) {
 					id := r.Header.Get("Id")
 					answer := responseText(200, id, "Content-Type: text/event-stream\r\n", "id: 1\n\n")
 					switch {
 					case r.Header.Get("Server") == "0":
+						refused.Add(1)
 						return refusal(id), false
 					case received[id]:
 						return refusal(id) + answer, true
 					}
 					return answer, true
 				})
-				router := newTestRouter(t)
-				// The picks alternate, so that either ID comes first in some calls.
-				router.listAt(s.listener.Addr().String(), "0", "1")
 				for i := range 20 {
+					// The first pick is random, so that either ID comes first in some calls.
+					router := newTestRouterWithSeed(t, uint64(i))
+					router.listAt(s.listener.Addr().String(), "0", "1")
 					id := fmt.Sprint("r", i)
 					status, body := router.callWithID(path, id)
 					require.Equal(t, http.StatusOK, status, body)
 					require.Equal(t, 1, s.runsOf(id))
 				}
+				require.Greater(t, refused.Load(), int32(2), "requests that were refused first")
 			})
 		}
 	}
--- a/internal/router/peer/call.go
+++ b/internal/router/peer/call.go
@@ -47,10 +47,10 @@
 // ProposeRequest asks the leader to replicate a command.
 type ProposeRequest struct {
 	Command []byte
-	// Zone is the revision on which an order for a zone is based. A call may arrive after its
+	// Base is the revision on which an order for a zone is based. A call may arrive after its
 	// sender has given up and a newer order was accepted, so the leader rejects an order whose
 	// base isn't the current revision. Other commands have none.
-	Zone ZoneRevision
+	Base ZoneRevision
 }
 
 // ProposeReply carries the outcome. It has the kind of an error in a field of its own,
@@ -76,7 +76,8 @@
 	Detail   string
 	Revision uint64
 	State    PackedState
-	Zone     ZoneRevision
+	// ZoneRevision is the revision of the requested zone.
+	ZoneRevision ZoneRevision
 }
 
 // JoinRequest asks the leader to add a replica to the control group.
@@ -179,7 +180,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), CallTimeout)
 	defer cancel()
 	var err error
-	out.Revision, err = r.handler.Propose(ctx, in.Command, in.Zone)
+	out.Revision, err = r.handler.Propose(ctx, in.Command, in.Base)
 	out.Kind, out.Detail = encodeError(err)
 	return nil
 }
@@ -190,7 +191,7 @@
 	defer cancel()
 	state, err := r.handler.Read(ctx)
 	if err == nil && in.Zone != "" {
-		out.Zone, err = r.handler.ZoneRevision(ctx, in.Zone)
+		out.ZoneRevision, err = r.handler.ZoneRevision(ctx, in.Zone)
 	}
 	out.Kind, out.Detail = encodeError(err)
 	out.Revision = state.Revision
--- a/internal/run/router/operator.go
+++ b/internal/run/router/operator.go
@@ -56,7 +56,7 @@
 		if err := g.router.clients.Call(ctx, addr, "Read", &peer.ReadRequest{Above: math.MaxUint64, Zone: zone}, &reply); err != nil {
 			return bronzerill.Errorf(bronzerill.KindNoQuorum, "%v", err)
 		}
-		revision = reply.Zone
+		revision = reply.ZoneRevision
 		return peer.Err(reply.Kind, reply.Detail)
 	})
 	return revision, err
@@ -73,7 +73,7 @@
 		return err
 	}, func(addr string) error {
 		var reply peer.ProposeReply
-		if err := g.router.clients.Call(ctx, addr, "Propose", &peer.ProposeRequest{Command: data, Zone: base}, &reply); err != nil {
+		if err := g.router.clients.Call(ctx, addr, "Propose", &peer.ProposeRequest{Command: data, Base: base}, &reply); err != nil {
 			return bronzerill.Errorf(bronzerill.KindNoQuorum, "%v", err)
 		}
 		return peer.Err(reply.Kind, reply.Detail)
--- a/internal/run/router/zoneorders_test.go
+++ b/internal/run/router/zoneorders_test.go
@@ -24,8 +24,9 @@
 	require.Equal(t, bronzerill.KindNone, accept(term, "a", peer.ZoneRevision{}), "from an earlier build")
 	require.Equal(t, bronzerill.KindStaleOrder, accept(term, "a", second))
 
-	third := o.revision(term, "a")
+	third, unused := o.revision(term, "a"), o.revision(term, "c")
 	require.Equal(t, bronzerill.KindStaleOrder, accept(term+1, "a", third), "another leader was elected meanwhile")
+	require.Equal(t, bronzerill.KindStaleOrder, accept(term+1, "c", unused), "neither leader had accepted any")
 	require.Equal(t, bronzerill.KindNone, accept(term+1, "a", o.revision(term+1, "a")))
 	require.Equal(t, bronzerill.KindStaleOrder, accept(term+1, "a", third))
 }
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -112,9 +112,9 @@
 		message.(*peer.Digest).Extension = peer.Extension{}
 	},
 	"control.RegisterRequest":  func(message any) { message.(*control.RegisterRequest).Process = "" },
-	"neighbour.ProposeRequest": func(message any) { message.(*peer.ProposeRequest).Zone = peer.ZoneRevision{} },
+	"neighbour.ProposeRequest": func(message any) { message.(*peer.ProposeRequest).Base = peer.ZoneRevision{} },
 	"neighbour.ReadRequest":    func(message any) { message.(*peer.ReadRequest).Zone = "" },
-	"neighbour.ReadReply":      func(message any) { message.(*peer.ReadReply).Zone = peer.ZoneRevision{} },
+	"neighbour.ReadReply":      func(message any) { message.(*peer.ReadReply).ZoneRevision = peer.ZoneRevision{} },
 	"neighbour.StateReply":     func(message any) { message.(*peer.StateReply).Versions = nil },
 	"neighbour.ListReply": func(message any) {
 		for i := range message.(*peer.ListReply).Servers {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -61,7 +61,7 @@
 mutant "a cold server gets the slots of a warm server" $A/admission/ramp.go 's/min\(p\.Slots, p\.ColdSlots\+r\.finished\/p\.RampStep\)/p.Slots/' $A/admission 'TestAdmit|TestLoadBound|TestRamp'
 mutant "a zone that is out admits requests" $A/admission/gate.go 's/case zone\.Out:/case zone.Out \&\& false:/' $A/admission TestAdmit
 mutant "requests are admitted after the lease has expired" $A/admission/gate.go 's/case !v\.HasLease\(now\):/case false:/' $A/admission TestAdmit
-mutant "a draining or leaving server admits requests" $A/admission/gate.go 's/case g\.draining \|\| v\.Leaving:/case false:/' $A/admission TestAdmit
+mutant "a draining or leaving server admits requests" $A/admission/gate.go 's/case g\.draining \|\| g\.leaving \|\| v\.Leaving:/case false:/' $A/admission TestAdmit
 mutant "a surge of one customer takes all slots" $A/admission/gate.go 's/\&\& g\.overShare\(r, limit\)/\&\& false/' $A/admission TestSurge
 mutant "a truncated response is reported as complete" internal/wire/exchange/message.go 's/case !c\.hasHead \|\| end\.Bytes != c\.offset:/case false:/' internal/wire/exchange TestChecker
 mutant "ids in response heads aren't compared" internal/wire/exchange/message.go 's/f\.Head == nil \|\| f\.Head\.ID != c\.id/f.Head == nil/' internal/wire/exchange TestChecker
@@ -96,7 +96,7 @@
 mutant "router: every prompt counts as hot" $P/bound.go 's/if burst > floodThreshold \{/if burst >= 0 {/' $P TestPromptsStayUp
 mutant "router: engines are loaded above the bound of the deployment" $P/admission.go 's/if a\.engine \&\& float64/if false \&\& float64/' $P TestEnginesAboveTheHardBound
 mutant "router: a request whose response was lost counts as not run" $V/client.go 's/if written == 0 \{/if written >= 0 {/' $V 'Test'
-mutant "router: responses to other requests are passed on" $V/client.go 's/if matches\(response\.Header\) \{/if true {/' $V TestLateResponse
+mutant "router: responses to other requests are passed on" $V/client.go 's/switch match\(response\.Header\) \{/switch MatchOwn {/' $V 'TestLateResponse|TestResponseThatNames'
 mutant "router: a truncated stream counts as complete" $C/stream.go 's/if s\.scanner\.open > 0 \&\& \(.*/if false {/' $C 'TestBrokenStream|TestStream'
 mutant "router: an older state replaces a newer one" $O/holder.go 's/newer := next\.Revision > h\.state\.Revision/newer := true/; s/if next\.Revision <= before\.Revision \{/if false {/' $O TestStateNever
 mutant "router: the bootstrapping router alone acknowledges writes" $O/group.go 's/if voters < needed \{/if voters < 0 \&\& needed > 0 {/' $O TestFounderAlone
@@ -154,7 +154,7 @@
 mutant "stated: a single peer's pause counts" $P/table.go 's/r\.avoidUntil = pauses\[r\.key\]\.second/r.avoidUntil = pauses[r.key].first/' $P TestPausesOfPeers
 mutant "stated: engines in a pause lower the load bound" $P/server.go 's/ \&\& !r\.backoff\.isActive\(now\) \&\& / \&\& /' $P TestLoadBoundLeavesOut
 mutant "stated: the query for cached prompts ignores pauses" $P/report.go 's/ \&\& r\.backoff\.wait\(now\) <= 0 \{/ {/' $P TestEnginesInAPause
-mutant "stated: a silent request moves to a server in a pause" $P/pick.go 's/if !q\.matches\(r\) \|\| r\.backoff\.wait\(now\) > 0 \{/if !q.matches(r) {/' $P TestSilentRequest
+mutant "stated: a silent request moves to a server in a pause" $P/pick.go 's/if !q\.matches\(r\) \|\| r\.backoff\.wait\(now\) > 0 /if !q.matches(r) /' $P TestSilentRequest
 mutant "stated: agents ignore pauses" $A/engine/client.go 's/; wait > 0 \{/; wait > 0 \&\& false {/' $A/engine TestEngineGetsNothing
 mutant "stated: agents ignore the pauses of services" $A/service/client.go 's/; wait > 0 \{/; wait > 0 \&\& false {/' $A/service TestServiceGetsNo
 mutant "stated: agents ignore engines that leave" $A/admission/gate.go 's/g\.draining \|\| g\.leaving \|\| v\.Leaving/g.draining || v.Leaving/' $A/admission TestAdmit
@@ -164,6 +164,24 @@
 mutant "unframed: agents hand over a cut-off cache" $A/engine/client.go 's/if !httpheader\.IsFramed\(response\) \{/if false {/' $A/engine TestUnframedCache
 mutant "unframed: agents take a cut-off reply of a service" $A/service/client.go 's/if !httpheader\.IsFramed\(response\) \{/if false {/' $A/service TestUnframedReply
 
+mutant "late: orders are accepted on any revision" $O/zoneorders.go 's/base != current \{/base != current \&\& false {/' $O 'TestZoneOrders|TestLateOrder'
+mutant "late: accepted orders aren't counted" $O/zoneorders.go 's/^\t\*accepted\+\+$//' $O 'TestZoneOrders|TestLateOrder'
+mutant "late: revisions outlive the leader" $O/zoneorders.go 's/Term: term, Accepted: \*accepted/Term: base.Term, Accepted: *accepted/' $O TestZoneOrders
+mutant "late: a proposal is appended in another term" $R/proposal.go 's/if p\.term != 0 \&\& p\.term != n\.core\.Term\(\) \{/if false {/' $R TestCommandIsNotAppendedInLaterTerm
+mutant "late: overtaken tickets are applied" $H/ticketorder.go 's/overtaken != "" \{/false {/' $H TestLateTicket
+mutant "late: tickets don't wait for pending ones" $H/ticketorder.go 's/if s\.tickets\.settledTerm == term \{/if true {/' $H TestLateTicketDoesNotFollow
+mutant "late: a process is registered twice" $H/registration.go 's/case known\.process == process:/case false:/' $H TestLateRegistration
+mutant "late: calls to servers are delivered after they are given up" $V/conn.go 's/return tcp\.Reset\(c\.Conn\)/_ = tcp.Reset\n\treturn c.Close()/' $V TestCallThatIsGivenUp
+mutant "late: calls to routers are delivered after they time out" internal/wire/netrpc/client.go 's/_ = tcp\.Reset\(conn\.transport\)/_ = tcp.Reset\n\t_ = conn.transport.Close()/' internal/wire/netrpc TestCallThatTimedOut
+mutant "late: requests go by the zones of their arrival" $C/exchange.go 's/return e\.cfg\.Routes\(\)\.IsZoneOut\(zone\)/return e.table.IsZoneOut(zone)/' $C 'TestRequestIsNot'
+mutant "late: zones aren't checked after the dial" $C/call.go 's/if e\.isZoneOut\(e\.choice\.Zone\) \{/if false {/' $C TestRequestIsNotSent
+mutant "foreign: a response without an ID is believed" $C/call.go 's/return server\.MatchNone/return server.MatchOwn/' $C 'TestRefusal|TestResponseWithoutID'
+mutant "foreign: the connection of a refusal is kept" $C/exchange.go 's/^\t\treturn e\.refusedAttempt\(info\)/\t\t_, _ = io.ReadAll(response.Body)\n&/' $C TestRepeatedRefusal
+mutant "foreign: an entry is decoded with its list" platform/list.go 's/list, err := jsonlist\.Split\(data, "instances"\)/if !json.Valid(data) {\n\t\treturn page{}, errors.New("invalid")\n\t}\n\t&/' platform TestOddEntries
+mutant "foreign: a damaged entry ends the list" internal/wire/jsonlist/split.go 's/if err := s\.recover\(\); err != nil/if err := errNoEnd; err != nil/' internal/wire/jsonlist TestSplit
+mutant "foreign: impossible numbers are believed" platform/list.go 's/ \|\| !in\.isWithinLimits\(\)//' platform TestOddEntries
+mutant "foreign: an odd instance hides the others" internal/platform/list/list.go 's/if !utf8\.Valid\(entry\) \|\| json/if !utf8.Valid(nil) || json/' internal/platform/list TestOddEntries
+
 if [ "$survived" -gt 0 ]; then
 	echo "$survived mutants were not caught"
 	exit 1
