--- a/internal/wire/jsonlist/split.go
+++ b/internal/wire/jsonlist/split.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return Document{}, errors.Wrapf(err, "field %q", field)
 	}
-	s := splitter{data: document, position: begin, budget: recoveryFactor * len(document)}
+	s := splitter{data: document, position: begin, budget: max(minRecoveryBytes, recoveryFactor*len(document))}
 	if err := s.run(); err != nil {
 		return Document{}, errors.Wrapf(err, "field %q", field)
 	}
@@ -65,9 +65,15 @@
 	return 0, errNoList
 }
 
-// recoveryFactor limits the work of looking for the next entry after damaged ones, as a multiple
-// of the size of the document.
-const recoveryFactor = 8
+// Limits of the work of looking for the next entry after damaged ones.
+const (
+	// minRecoveryBytes and recoveryFactor limit the bytes that are scanned, in total and as a
+	// multiple of the size of the document.
+	minRecoveryBytes = 1 << 20
+	recoveryFactor   = 8
+	// maxRecoveredBytes is the maximum size of that entry.
+	maxRecoveredBytes = 64 << 10
+)
 
 // splitter reads the entries of a list.
 type splitter struct {
@@ -91,11 +97,11 @@
 		return nil
 	}
 	for {
-		end, ok := s.entryEnd(s.position)
+		end, ok := s.entryEnd(s.position, len(s.data))
 		if ok {
 			s.entries = append(s.entries, bytes.TrimRight(s.data[s.position:end], space))
 			s.position = s.skipSpace(end)
-		} else if err := s.recover(); err != nil {
+		} else if err := s.skipDamaged(end); err != nil {
 			return err
 		}
 		if s.byteAt(s.position) == ']' {
@@ -105,10 +111,10 @@
 	}
 }
 
-// entryEnd returns the end of the entry at a position. ok is false if no comma or closing bracket
-// follows there.
-func (s *splitter) entryEnd(position int) (end int, ok bool) {
-	end, ok = valueEnd(s.data, position)
+// entryEnd returns the end of the entry at a position, which must be before limit. ok is false if no
+// comma or closing bracket follows there.
+func (s *splitter) entryEnd(position, limit int) (end int, ok bool) {
+	end, ok = valueEnd(s.data[:limit], position)
 	if !ok {
 		return end, false
 	}
@@ -116,10 +122,11 @@
 	return end, next == ',' || next == ']'
 }
 
-// recover moves the position from a damaged entry to the comma before the next one that is valid
-// JSON. Without one, it moves to the last closing bracket.
-func (s *splitter) recover() error {
+// skipDamaged moves the position from a damaged entry, which was scanned up to an end, to the comma
+// before the next one that is valid JSON. Without one, it moves to the last closing bracket.
+func (s *splitter) skipDamaged(scanned int) error {
 	s.damaged++
+	s.budget -= scanned - s.position
 	for at := s.position; ; at++ {
 		comma := bytes.IndexByte(s.data[at:], ',')
 		if comma < 0 {
@@ -130,7 +137,7 @@
 		if s.byteAt(begin) != '{' {
 			continue
 		}
-		end, ok := s.entryEnd(begin)
+		end, ok := s.entryEnd(begin, min(len(s.data), begin+maxRecoveredBytes))
 		if s.budget -= end - begin; s.budget < 0 {
 			return errTooDamaged
 		}
--- a/internal/wire/jsonlist/split_test.go
+++ b/internal/wire/jsonlist/split_test.go
@@ -27,6 +27,7 @@
 		{"quote too many", `[{"id":1},{"id":"a"b"},{"id":3}]`, []string{`{"id":1}`, `{"id":3}`}, 1},
 		{"brackets that don't match", `[{"id":[1}},{"id":2}]`, []string{`{"id":2}`}, 1},
 		{"bracket too many", `[{"id":1}},{"id":2}]`, []string{`{"id":2}`}, 1},
+		{"many levels without an end", `[{"x":[1` + strings.Repeat(`,{"a":[`, 100) + `,{"id":2}]`, []string{`{"id":2}`}, 1},
 		{"nothing", `[,{"id":2}]`, []string{`{"id":2}`}, 1},
 		{"last one damaged", `[{"id":1},{"id":"a]`, []string{`{"id":1}`}, 1},
 		{"all damaged", `[{"id":"a]`, nil, 1},
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -178,7 +178,7 @@
 mutant "foreign: a response without an ID is believed" $C/call.go 's/return server\.MatchNone/return server.MatchOwn/' $C 'TestRefusal|TestResponseWithoutID'
 mutant "foreign: the connection of a refusal is kept" $C/exchange.go 's/^\t\treturn e\.refusedAttempt\(info\)/\t\t_, _ = io.ReadAll(response.Body)\n&/' $C TestRepeatedRefusal
 mutant "foreign: an entry is decoded with its list" platform/list.go 's/list, err := jsonlist\.Split\(data, "instances"\)/if !json.Valid(data) {\n\t\treturn page{}, errors.New("invalid")\n\t}\n\t&/' platform TestOddEntries
-mutant "foreign: a damaged entry ends the list" internal/wire/jsonlist/split.go 's/if err := s\.recover\(\); err != nil/if err := errNoEnd; err != nil/' internal/wire/jsonlist TestSplit
+mutant "foreign: a damaged entry ends the list" internal/wire/jsonlist/split.go 's/if err := s\.skipDamaged\(end\); err != nil/if err := errNoEnd; err != nil/' internal/wire/jsonlist TestSplit
 mutant "foreign: impossible numbers are believed" platform/list.go 's/ \|\| !in\.isWithinLimits\(\)//' platform TestOddEntries
 mutant "foreign: an odd instance hides the others" internal/platform/list/list.go 's/if !utf8\.Valid\(entry\) \|\| json/if !utf8.Valid(nil) || json/' internal/platform/list TestOddEntries
 
