Review case 8: a lost disk after a planned replacement takes the quorum for good

Tried: a fourth machine of the core is added, the first one is stopped and removed 8 s later, and half a second after its end another one loses its disk. With TROUBLE=0, the same replacement without the lost disk, the acknowledged version comes. Nothing is fixed.

--- a/review/lab2/fleet.go
+++ b/review/lab2/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,6 +70,22 @@
 	return f, err
 }
 
+// spare returns a router that isn't part of the fleet yet.
+func (f *fleet) spare() *router {
+	last := f.routers[len(f.routers)-1]
+	number := len(f.routers) + 1
+	name := fmt.Sprintf("front-%d", number)
+	prefix := strings.TrimSuffix(last.ip, strconv.Itoa(len(f.routers)))
+	return &router{name: name, zone: f.routers[0].zone, ip: prefix + strconv.Itoa(number), folder: filepath.Join(f.folder, name)}
+}
+
+// remove takes a router out of the fleet for good.
+func (f *fleet) remove(r *router) {
+	f.record.add("process", "%s is removed", r.name)
+	f.stop(r)
+	f.routers = slices.DeleteFunc(f.routers, func(other *router) bool { return other == r })
+}
+
 // freePorts returns the first of portCount ports that are free at all addresses.
 func freePorts(routers []*router) (int, error) {
 	for range 100 {
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -19,7 +19,8 @@
 type scenario func(l *lab) (broken int, err error)
 
 var scenarios = map[string]scenario{
-	"length": playLength,
+	"handover": playHandover,
+	"length":   playLength,
 }
 
 // lab is what a case has: routers, servers and whether the disruption takes place.
