--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	defer func() { _ = response.Body.Close() }() // it has been read
 	body, err := io.ReadAll(response.Body)
 	return answer{response.StatusCode, response.Header.Get("X-Bronzerill-Response-Stamp"), string(body), err}
 }
--- a/review/lab2/fleet.go
+++ b/review/lab2/fleet.go
@@ -38,7 +38,7 @@
 	mu                     sync.Mutex
 	cmd                    *exec.Cmd
 	exited                 chan struct{}
-	// ended is how the process ended, if the test didn't end it.
+	// ended is how the process ended, if the test didn't kill it.
 	ended string
 }
 
@@ -50,6 +50,8 @@
 	basePort int
 	list     string
 	routers  []*router
+	// waits wait for the ends of processes.
+	waits sync.WaitGroup
 }
 
 // newFleet prepares routers and their folders, without starting them.
@@ -167,16 +169,16 @@
 	r.cmd, r.exited, r.ended = cmd, exited, ""
 	r.mu.Unlock()
 	f.record.add("process", "%s started", r.name)
-	go func() {
+	f.waits.Go(func() {
 		_ = cmd.Wait() // the state tells how it ended
 		r.mu.Lock()
 		if r.cmd == cmd {
 			r.ended = cmd.ProcessState.String()
-			f.record.add("process", "%s ended by itself: %s", r.name, r.ended)
+			f.record.add("process", "%s ended: %s", r.name, r.ended)
 		}
 		r.mu.Unlock()
 		close(exited)
-	}()
+	})
 	return nil
 }
 
--- a/review/lab2/world.go
+++ b/review/lab2/world.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -28,8 +29,10 @@
 
 // world holds the stand-ins around the routers: the platform's list and the servers.
 type world struct {
-	record  *record
-	list    net.Listener
+	record *record
+	list   net.Listener
+	// tasks serve until the program ends.
+	tasks   sync.WaitGroup
 	mu      sync.Mutex
 	servers []*server
 }
@@ -60,7 +63,7 @@
 	}
 	w := &world{record: rec, list: listener}
 	web := &http.Server{Handler: http.HandlerFunc(w.serveList), ReadHeaderTimeout: time.Second}
-	go func() { _ = web.Serve(listener) }() // it ends with the process
+	w.tasks.Go(func() { _ = web.Serve(listener) }) // it ends with the program
 	return w, nil
 }
 
@@ -88,7 +91,7 @@
 		Version: "v1", Slots: 48, State: "ready", Born: time.Now().UnixMilli(),
 	}}
 	w.servers = append(w.servers, s)
-	go s.serve()
+	w.tasks.Go(s.serve)
 	return s, nil
 }
 
@@ -98,7 +101,7 @@
 		if err != nil {
 			return
 		}
-		go s.serveConn(conn)
+		s.tasks.Go(func() { s.serveConn(conn) })
 	}
 }
 
@@ -111,7 +114,7 @@
 		line.reset(reader)
 		request, err := http.ReadRequest(reader)
 		if err != nil {
-			if text := line.text(); text != "" && err != io.EOF {
+			if text := line.text(); text != "" && !errors.Is(err, io.EOF) {
 				s.record.add("server", "%s reads what is no request: %q: %v", s.ID, text, err)
 			}
 			return
