--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -19,6 +19,7 @@
 type scenario func(l *lab) (broken int, err error)
 
 var scenarios = map[string]scenario{
+	"founder":  playFounder,
 	"handover": playHandover,
 	"length":   playLength,
 }
