--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -28,10 +28,12 @@
 
 func (c *channel) close() { _ = c.conn.Close() }
 
-// request returns the text of a request without a body.
-func request(method, target, host, id string, timeout time.Duration, headers ...string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Bronzerill-Request-Id: %s\r\nX-Bronzerill-Deadline-Ms: %d\r\n%s\r\n",
-		method, target, host, id, timeout.Milliseconds(), strings.Join(append(headers, ""), "\r\n"))
+// host is the host of all routes.
+const host = "ficu95.example"
+
+// request returns the text of an idempotent request without a body.
+func request(target, id string, timeout time.Duration) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Bronzerill-Request-Id: %s\r\nX-Bronzerill-Deadline-Ms: %d\r\n\r\n", target, host, id, timeout.Milliseconds())
 }
 
 // answer is what a client gets for a request.
--- a/review/lab2/founder.go
+++ b/review/lab2/founder.go
@@ -74,6 +74,6 @@
 		return false
 	}
 	defer c.close()
-	a := c.ask(id+" at "+r.name, request(http.MethodGet, "/sound/2f", "ficu95.example", id, requestBudget), requestBudget)
+	a := c.ask(id+" at "+r.name, request("/sound/2f", id, requestBudget), requestBudget)
 	return a.status == http.StatusOK
 }
--- a/review/lab2/length.go
+++ b/review/lab2/length.go
@@ -82,7 +82,7 @@
 	plain := channels[keptChannels]
 	for i := range plainRequests {
 		id := fmt.Sprintf("plain-%d-%d", round, i)
-		if a := plain.exchange(request(http.MethodGet, "/faulty/2f", "ficu95.example", id, budget), budget); a.status != http.StatusOK {
+		if a := plain.exchange(request("/faulty/2f", id, budget), budget); a.status != http.StatusOK {
 			return 0, fmt.Errorf("%s: %v", id, a)
 		}
 	}
@@ -94,7 +94,7 @@
 	time.Sleep(300 * time.Millisecond)
 	spoiled.Store(l.trouble)
 	id := fmt.Sprintf("trigger-%d", round)
-	plain.ask(id, request(http.MethodGet, "/faulty/2f", "ficu95.example", id, budget), budget)
+	plain.ask(id, request("/faulty/2f", id, budget), budget)
 	lost = second.wait()
 	l.record.add("result", "%s: %d of %d requests on kept channels, at sound servers, weren't answered", r.name, lost, keptChannels)
 	if r.awaitEnd(endPause) {
@@ -127,7 +127,7 @@
 	for i, c := range channels {
 		id := fmt.Sprintf("%s-%d", name, i)
 		all.group.Go(func() {
-			if a := c.ask(id, request(http.MethodGet, "/sound/2f", "ficu95.example", id, budget), budget); a.err != nil {
+			if a := c.ask(id, request("/sound/2f", id, budget), budget); a.err != nil {
 				all.unanswered.Add(1)
 			}
 		})
