Router: an answer with an invalid status is no answer

Cause: net/http panics in WriteHeader for a status below 100, and recovers by closing the connection. 101 promises another protocol, which the router never asks for. Ruled out: statuses that the parser rejects (-20); +20 is one that it accepts as 20. Change: the client of servers treats statuses outside 100 to 599, and 101, as a broken response. The request may have run, so the caller gets 502, or the answer of another server.

--- a/internal/router/caller/statednumbers_test.go
+++ b/internal/router/caller/statednumbers_test.go
@@ -42,6 +42,9 @@
 		"negative chunk":           "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n-1\r\nspoiled",
 		"length in another answer": "HTTP/1.1 200 OK\r\nId: r2\r\nContent-Length: " + largest + "\r\n\r\nspoiled",
 	}
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "-20", "+20"} {
+		tests["status "+status] = "HTTP/1.1 " + status + " X\r\n" + fields + "Content-Length: 7\r\n\r\nspoiled"
+	}
 	for name, response := range tests {
 		for _, path := range []string{"/once/x", "/repeatable/x"} {
 			t.Run(name+path, func(t *testing.T) {
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -242,7 +242,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
+		if !isValidStatus(response.StatusCode) {
+			return nil, errors.Errorf("response with invalid status %d", response.StatusCode)
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		conn.limited.remaining = unlimited
--- a/internal/router/server/limit.go
+++ b/internal/router/server/limit.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math"
+	"net/http"
 
 	"github.com/pkg/errors"
 )
@@ -15,6 +16,8 @@
 	maxHeadBytes = 64 << 10
 	// maxSkippedBytes is the maximum size of the body of a response to another request.
 	maxSkippedBytes = 1 << 20
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 	// unlimited stands for no limit.
 	unlimited = math.MaxInt64
 )
@@ -37,3 +40,9 @@
 	}
 	return n, err
 }
+
+// isValidStatus reports whether a status is that of an interim or a final response. The router never
+// asks for another protocol. net/http panics if a status below 100 is forwarded.
+func isValidStatus(status int) bool {
+	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
