Internal port: a connection that can't be accepted doesn't end the router

Cause: an error of Accept ended the server of net/rpc, with it the group of all tasks, and so the process. A process without free file descriptors gets that error; connections of callers use them up. net/http goes on after it. Ruled out: the other tasks of the group return no errors while the process runs. Change: logged, and tried again after 50 ms, unless the listener is closed. Before: TestServerOutlastsConnectionsThatItCannotAccept failed with "accept: too many open files"; after: passes with -race.

--- a/internal/wire/netrpc/server.go
+++ b/internal/wire/netrpc/server.go
@@ -5,14 +5,19 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 )
 
-// maxConns bounds the number of open connections of one server.
-const maxConns = 16_384
+const (
+	// maxConns bounds the number of open connections of one server.
+	maxConns = 16_384
+	// acceptRetryDelay is the delay after a connection couldn't be accepted.
+	acceptRetryDelay = 50 * time.Millisecond
+)
 
 // Server serves net/rpc services to peers that prove the secret.
 type Server struct {
@@ -47,9 +52,18 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return errors.Wrap(err, "accept")
 			}
+			if err != nil {
+				// The process may have no file descriptor left. The others of its connections go on.
+				s.log.Error("connection not accepted", "error", err.Error())
+				select {
+				case <-ctx.Done():
+				case <-time.After(acceptRetryDelay):
+				}
+				continue
+			}
 			group.Go(func() error { s.serveConn(ctx, conn); return nil })
 		}
 	})
