Router: a panic while a response is received ends only its request

Cause: responses are received in goroutines of the exchange. net/http contains the panics of its own goroutines only. Ruled out: containing the tasks of the process too; a panic there may leave a lock held, and a restart is better than a hang. Change: the goroutine turns a panic into a failed call, counts panic-contained and logs the stack. Before: TestPanicEndsOnlyItsRequest ended the test binary with "panic: odd response"; after: both tests pass with -race.

--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -63,6 +63,7 @@
 	EventEngineResume     Event = "engine-stream-resumed"
 	EventHandover         Event = "cache-handed-over"
 	EventTakeover         Event = "cache-taken-over"
+	EventPanic            Event = "panic-contained"
 )
 
 // Count increments the counter of an event.
--- a/internal/router/caller/servercall.go
+++ b/internal/router/caller/servercall.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,6 +99,7 @@
 // receive sends the request and delivers the parts of the response.
 func (c *serverCall) receive(call server.Call) {
 	defer c.cancel()
+	defer c.containPanic()
 	response, err := c.cfg.Client.Do(c.ctx, call)
 	if err == nil {
 		defer func() { _ = response.Body.Close() }() // the body has been read, or the connection is discarded
@@ -110,6 +113,19 @@
 	<-c.released
 }
 
+// containPanic turns a panic into the failure of this call. Without it, one odd response would end the
+// process with all its requests: net/http contains the panics of its own goroutines only.
+func (c *serverCall) containPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	metrics.Count(metrics.EventPanic)
+	c.cfg.Log.Error("panic while a response was received", "request", c.request.ID, "server", c.choice.ID, "panic", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	c.deliver(part{err: errors.Errorf("panic: %v", cause)})
+	<-c.released
+}
+
 // receiveBody delivers the header and the body of a response. It returns io.EOF at the end of the body.
 func (c *serverCall) receiveBody(response *server.Response) error {
 	c.deliver(part{response: response})
