Router: two stated numbers that overflow

Cause: Keep-Alive with a large negative timeout overflows to an idle time of centuries, and a declared cold-start rate beyond 2^63 converts to a number that differs between processors (one sender on x86-64, all on arm64). Ruled out, read and covered by tests: Retry-After, limits, slots, start and cold-start times of the list, timeouts of callers and routes (all clamped already); reported loads aren't used. Change: a negative idle time is none; the rate is compared before it is converted.

--- a/internal/router/placement/bucket.go
+++ b/internal/router/placement/bucket.go
@@ -32,7 +32,7 @@
 // The rates allow for this, so that the sum over all routers stays within the limit
 // even if they can't communicate.
 func coldSendRate(limit float64, routers int) (senders int, perSecond float64) {
-	senders = max(1, min(routers, int(limit/2)))
+	senders = int(max(1, min(float64(routers), limit/2)))
 	return senders, max(0.2, limit/float64(senders)-1)
 }
 
--- a/internal/router/placement/coldstart_test.go
+++ b/internal/router/placement/coldstart_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -59,3 +60,16 @@
 	require.True(t, r.isCold(start.Add(time.Second)))
 	require.False(t, r.isCold(start.Add(time.Second+coldMargin)))
 }
+
+// Guards against a conversion whose result depends on the processor (the class of review/6).
+func TestImpossibleColdRateIsShared(t *testing.T) {
+	for _, limit := range []float64{1e18, 1e19, 1e300, math.Inf(1)} {
+		senders, perSecond := coldSendRate(limit, 9)
+		require.Equal(t, 9, senders, "%g", limit)
+		require.Positive(t, perSecond)
+	}
+	for _, limit := range []float64{0, -1, -1e300} {
+		senders, _ := coldSendRate(limit, 9)
+		require.Equal(t, 1, senders, "%g", limit)
+	}
+}
--- a/internal/router/server/conn.go
+++ b/internal/router/server/conn.go
@@ -200,7 +200,7 @@
 			continue
 		}
 		seconds, err := strconv.Atoi(value)
-		if err != nil {
+		if err != nil || seconds < 0 {
 			return now
 		}
 		return now.Add(time.Duration(min(seconds, maxKeepAliveSeconds))*time.Second - idleMargin)
