Control group: a voter that leaves or is gone isn't needed any longer than necessary

Cause: the successor is a fourth voter, so the quorum is three until the voter that has left was silent for 2.5 s. Nothing told the group that it stops. Ruled out: the transfer of the leadership, and the catch-up of the empty replica. Change: a router that stops asks the leader to go on without its vote, which it does while the others outnumber the losses twice. Of an even number of voters, one that is silent for 1 s becomes a learner until it answers. A voter whose disk is lost, as a replica at its address shows, is removed before its replacement has caught up. A replica that has no vote asks to join at once. Why it works: with an even number of voters, every set that is a quorum with the removed one is a quorum without it. No removal makes a quorum smaller than losses + 1.

--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -73,6 +73,8 @@
 	folderCount int
 	// selfRepair enables SelfRepair on every replica.
 	selfRepair bool
+	// losses is the setting Losses of every replica.
+	losses int
 }
 
 func newCluster(t *testing.T, seed uint64, names ...string) *cluster {
@@ -123,6 +125,7 @@
 		Entries:   append([]Entry(nil), n.disk.entries...),
 
 		SelfRepair: c.selfRepair,
+		Losses:     c.losses,
 	})
 }
 
--- a/internal/control/replica/core.go
+++ b/internal/control/replica/core.go
@@ -84,6 +84,9 @@
 	// SelfRepair lets the leader promote learners and replace lost voters
 	// without an operator.
 	SelfRepair bool
+	// Losses is the number of disks that may be lost at once without a loss of committed entries.
+	// Self-repair keeps quorums larger than that.
+	Losses int
 }
 
 // Core is the Raft state machine of one replica. It does no I/O: Tick, Step and
@@ -125,6 +128,9 @@
 	// transferTo is the target of a leadership transfer, or empty.
 	transferTo string
 	selfRepair bool
+	losses     int
+	// leaving maps the members that asked to leave to the end of their requests.
+	leaving map[string]time.Time
 }
 
 // NewCore returns a follower that starts from its saved state.
@@ -141,6 +147,8 @@
 		seenFolders: map[string]string{cfg.Name: cfg.Identity},
 
 		selfRepair: cfg.SelfRepair,
+		losses:     cfg.Losses,
+		leaving:    make(map[string]time.Time),
 	}
 	if cfg.Snapshot != nil {
 		c.log.reset(cfg.Snapshot.Index, cfg.Snapshot.Term)
--- a/internal/control/replica/core_test.go
+++ b/internal/control/replica/core_test.go
@@ -176,7 +176,7 @@
 	c := newCluster(t, 8, "a", "b", "c")
 	c.mustCommit(1)
 	lead := c.awaitLeader()
-	c.nodes[lead].core.TransferLeadership()
+	c.nodes[lead].core.TransferLeadership(c.now)
 	c.processReady(lead)
 	c.run(200 * time.Millisecond)
 	next := c.leader()
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -111,7 +111,7 @@
 
 // TransferLeadership chooses the voter with the longest matching log and asks it
 // to campaign as soon as its log is complete.
-func (c *Core) TransferLeadership() {
+func (c *Core) TransferLeadership(_ time.Time) {
 	if c.role != leader {
 		return
 	}
--- a/internal/control/replica/message.go
+++ b/internal/control/replica/message.go
@@ -101,10 +101,10 @@
 	if s == nil {
 		return 0
 	}
-	return transferTimeout(len(s.Data))
+	return deliveryTime(len(s.Data))
 }
 
-func transferTimeout(size int) time.Duration {
+func deliveryTime(size int) time.Duration {
 	return time.Duration(size) * time.Second / minTransferRate
 }
 
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -66,6 +66,8 @@
 	// SelfRepair lets the leader promote learners and replace lost voters
 	// without an operator.
 	SelfRepair bool
+	// Losses is the number of disks that may be lost at once.
+	Losses int
 }
 
 // Status is a replica's view of its group.
@@ -140,6 +142,7 @@
 		Entries:     saved.Entries,
 
 		SelfRepair: cfg.SelfRepair,
+		Losses:     cfg.Losses,
 	})
 	n := &Node{
 		cfg:              cfg,
@@ -203,6 +206,14 @@
 	}
 }
 
+// Leave records, at the leader, that a member is about to stop for a time or for good. It returns
+// an error at other replicas.
+func (n *Node) Leave(name string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Leave(n.cfg.Clock(), name)
+}
+
 // Run drives the replica until ctx ends or the disk fails.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.stopped)
@@ -231,7 +242,7 @@
 				return n.fail(err)
 			}
 		case <-n.transfer:
-			n.withLock(func(time.Time) { n.core.TransferLeadership() })
+			n.withLock(func(now time.Time) { n.core.TransferLeadership(now) })
 		}
 		if err := n.processReady(); err != nil {
 			return n.fail(err)
--- a/internal/control/replica/repair.go
+++ b/internal/control/replica/repair.go
@@ -9,6 +9,9 @@
 		return
 	}
 	next, ok := c.withFolders()
+	if !ok && c.selfRepair {
+		next, ok = c.withFewerVoters(now)
+	}
 	if !ok {
 		next, ok = c.withRepair()
 	}
@@ -51,9 +54,9 @@
 		}
 		_, lostIsMember := c.members.Get(m.Replaces)
 		switch {
-		case !m.Voter && c.caughtUp(m.Name) && c.seenFolders[m.Name] != "":
+		case !m.Voter && c.caughtUp(m.Name) && c.folderOf(m) != "":
 			m.Voter = true
-			m.Folder = c.seenFolders[m.Name]
+			m.Folder = c.folderOf(m)
 			return c.members.With(m), true
 		case m.Voter && lostIsMember:
 			return c.members.Without(m.Replaces), true
@@ -65,6 +68,14 @@
 	return Members{}, false
 }
 
+// folderOf returns the data folder of a member, or an empty string if it isn't known.
+func (c *Core) folderOf(m Member) string {
+	if m.Folder != "" {
+		return m.Folder
+	}
+	return c.seenFolders[m.Name]
+}
+
 func (c *Core) caughtUp(name string) bool {
 	p := c.peers[name]
 	return p != nil && p.match >= c.hard.Commit && c.hard.Commit >= c.noopIndex
--- a/internal/control/replica/selfrepair.go
+++ b/internal/control/replica/selfrepair.go
@@ -16,7 +16,7 @@
 // caught up becomes a voter, and a spare replaces a voter that is lost.
 func (c *Core) withSelfRepair(now time.Time) (Members, bool) {
 	for _, m := range c.members.List {
-		if m.Voter || m.Replaces != "" || c.seenFolders[m.Name] == "" || !c.caughtUp(m.Name) || c.isSilent(now, m.Name) {
+		if m.Voter || m.Replaces != "" || c.folderOf(m) == "" || !c.caughtUp(m.Name) || c.isSilent(now, m.Name, briefSilence) || c.isLeaving(now, m.Name) {
 			continue
 		}
 		if lost := c.lostVoter(now); lost != "" && m.Spare {
@@ -26,34 +26,32 @@
 		}
 		if c.members.Voters() < maxVoters {
 			m.Voter = true
-			m.Folder = c.seenFolders[m.Name]
+			m.Folder = c.folderOf(m)
 			return c.members.With(m), true
 		}
 	}
 	return c.withLostVoterReplaced(now)
 }
 
-// withLostVoterReplaced lets a spare voter replace a lost one. If no voter is
-// lost, it removes a silent learner.
+// withLostVoterReplaced lets a spare voter replace a lost one, or else removes a silent learner.
 func (c *Core) withLostVoterReplaced(now time.Time) (Members, bool) {
 	lost := c.lostVoter(now)
-	if lost == "" {
-		return c.withoutSilentLearner(now)
-	}
-	for _, m := range c.members.List {
-		if m.Voter && m.Spare && m.Name != lost && !c.isSilent(now, m.Name) {
-			m.Spare = false
-			m.Replaces = lost
-			return c.members.With(m), true
+	if lost != "" && c.maySpare(1) {
+		for _, m := range c.members.List {
+			if m.Voter && m.Spare && m.Name != lost && !c.isSilent(now, m.Name, silenceTimeout) {
+				m.Spare = false
+				m.Replaces = lost
+				return c.members.With(m), true
+			}
 		}
 	}
-	return Members{}, false
+	return c.withoutSilentLearner(now)
 }
 
 // withoutSilentLearner removes a learner that has been silent for too long.
 func (c *Core) withoutSilentLearner(now time.Time) (Members, bool) {
 	for _, m := range c.members.List {
-		if !m.Voter && c.isSilent(now, m.Name) {
+		if !m.Voter && c.isSilent(now, m.Name, silenceTimeout) {
 			return c.members.Without(m.Name), true
 		}
 	}
@@ -62,22 +60,28 @@
 
 // lostVoter returns the voter that has been silent for the longest time, or an
 // empty string if none is lost.
-func (c *Core) lostVoter(now time.Time) string {
-	lost := ""
+func (c *Core) lostVoter(now time.Time) string { return c.mostSilentVoter(now, silenceTimeout) }
+
+// mostSilentVoter returns a voter that asked to leave, or else the one that has been silent for the longest
+// time, if that is longer than the timeout. It returns an empty string if there is none.
+func (c *Core) mostSilentVoter(now time.Time, timeout time.Duration) string {
+	most := ""
 	for _, m := range c.members.List {
-		if !m.Voter || !c.isSilent(now, m.Name) {
-			continue
-		}
-		if lost == "" || c.peers[m.Name].ackedSentAt < c.peers[lost].ackedSentAt {
-			lost = m.Name
+		switch {
+		case !m.Voter || m.Name == c.name:
+		case c.isLeaving(now, m.Name):
+			return m.Name
+		case c.isSilent(now, m.Name, timeout) && (most == "" || c.peers[m.Name].ackedSentAt < c.peers[most].ackedSentAt):
+			most = m.Name
 		}
 	}
-	return lost
+	return most
 }
 
-func (c *Core) isSilent(now time.Time, name string) bool {
+// isSilent reports whether a member other than the leader has answered nothing for longer than the timeout.
+func (c *Core) isSilent(now time.Time, name string, timeout time.Duration) bool {
 	p := c.peers[name]
-	return p != nil && c.sinceEpoch(now)-max(p.ackedSentAt, p.trackedSince) > silenceTimeout
+	return p != nil && c.sinceEpoch(now)-max(p.ackedSentAt, p.trackedSince) > timeout
 }
 
 // WithJoined returns the list with a replica that asks to join, or with its new
--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -28,7 +28,7 @@
 
 // timeout returns the time limit of the delivery. Data extends it by an amount that depends
 // on its size.
-func (b *Batch) timeout() time.Duration { return deliverTimeout + transferTimeout(b.bytes()) }
+func (b *Batch) timeout() time.Duration { return deliverTimeout + deliveryTime(b.bytes()) }
 
 // bytes returns the size of the data of the messages.
 func (b *Batch) bytes() int {
--- a/internal/router/peer/call.go
+++ b/internal/router/peer/call.go
@@ -93,6 +93,16 @@
 	Detail string
 }
 
+// LeaveRequest tells the leader that a replica is about to stop, for a time or for good. It is repeated
+// until the replica stops.
+type LeaveRequest struct{ Name string }
+
+// LeaveReply is empty if the leader has taken note.
+type LeaveReply struct {
+	Kind   bronzerill.Kind
+	Detail string
+}
+
 // DirectoryRequest asks for the prefix directory.
 type DirectoryRequest struct{}
 
@@ -129,6 +139,7 @@
 	Read(ctx context.Context) (declared.State, error)
 	ZoneRevision(ctx context.Context, zone string) (ZoneRevision, error)
 	Join(ctx context.Context, r JoinRequest) error
+	Leave(name string) error
 	GrantBootstrap(r BootstrapRequest) bool
 	Directory(now time.Time) placement.DirectorySnapshot
 	StreamVersion(stream StreamKey) (placement.VersionKey, bool)
@@ -210,6 +221,12 @@
 	return nil
 }
 
+// Leave notes that a replica is about to stop.
+func (r *RPC) Leave(in *LeaveRequest, out *LeaveReply) error {
+	out.Kind, out.Detail = encodeError(r.handler.Leave(in.Name))
+	return nil
+}
+
 // Directory replies with the prefix directory.
 func (r *RPC) Directory(_ *DirectoryRequest, out *DirectoryReply) error {
 	out.Directory = r.handler.Directory(r.clock())
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -25,14 +25,14 @@
 
 // Timing of the control group.
 const (
-	// joinInterval is the time between requests to join, until the replica is a
-	// voter.
-	joinInterval = 200 * time.Millisecond
+	// membershipInterval is the time between requests to join, until the replica is a voter, and between
+	// requests to leave.
+	membershipInterval = 200 * time.Millisecond
 	// bootstrapRetryDelay is the delay between requests to bootstrap the group.
 	bootstrapRetryDelay = 100 * time.Millisecond
 	// leaderRetryDelay is the delay before a call is retried at the current leader.
 	leaderRetryDelay = 50 * time.Millisecond
-	// leaderTimeout is the time without a leader after which a replica asks to join
+	// leaderTimeout is the time without a leader after which a voter asks to join
 	// again. It may have been replaced while it was away.
 	leaderTimeout = 1500 * time.Millisecond
 )
@@ -156,6 +156,7 @@
 		Seed:         xxhash.Sum64String(g.router.settings.Name) ^ uint64(time.Now().UnixNano()),
 		Addr:         g.router.settings.Router.AdvertisedAddr(),
 		SelfRepair:   true,
+		Losses:       g.router.settings.Router.Losses,
 	})
 	if err != nil {
 		_ = store.Close()
@@ -168,7 +169,7 @@
 	g.mu.Unlock()
 	g.router.log.Info("replica started", "replica", node.Name(), "applied", node.Status(time.Now()).Applied)
 	tasks.Go(func() error {
-		return ticker.Every(ctx, joinInterval, func(ctx context.Context) { g.ensureJoined(ctx, node, time.Now()) })
+		return ticker.Every(ctx, membershipInterval, func(ctx context.Context) { g.maintainMembership(ctx, node, time.Now()) })
 	})
 	err = node.Run(ctx)
 	if closeErr := store.Close(); err == nil {
@@ -177,20 +178,24 @@
 	return errors.Wrap(err, "run replica")
 }
 
-// ensureJoined asks the leader to add the replica, unless the replica is a voter that
-// knows a leader.
-func (g *group) ensureJoined(ctx context.Context, node *replica.Node, now time.Time) {
+// maintainMembership asks the leader to add the replica, unless the replica is a voter that knows a leader. A
+// replica that is about to stop asks to leave instead.
+func (g *group) maintainMembership(ctx context.Context, node *replica.Node, now time.Time) {
 	status := node.Status(now)
+	if g.router.stopping.Load() {
+		g.leave(ctx, node, now)
+		return
+	}
+	isVoter := status.Members.IsVoter(status.Name)
 	if status.Leader != "" {
 		g.leaderSeenAt = now
-		if status.Members.IsVoter(status.Name) {
-			return
-		}
-	} else if now.Sub(g.leaderSeenAt) < leaderTimeout {
+	}
+	// Without a leader, a voter may be part of the next election.
+	if isVoter && now.Sub(g.leaderSeenAt) < leaderTimeout {
 		return
 	}
-	leader, _ := g.router.peers.Leader(now)
-	if leader == "" || leader == g.router.settings.Router.AdvertisedAddr() {
+	leader := g.remoteLeader(now)
+	if leader == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peer.CallTimeout)
@@ -206,6 +211,40 @@
 	}
 }
 
+// remoteLeader returns the address of the leader by the digests of peers. It is empty if none is known or
+// the leader is this router.
+func (g *group) remoteLeader(now time.Time) string {
+	leader, _ := g.router.peers.Leader(now)
+	if leader == g.router.settings.Router.AdvertisedAddr() {
+		return ""
+	}
+	return leader
+}
+
+// leave hands over the leadership, or asks the leader to go on without the replica's vote. The leader
+// forgets the request unless it is repeated.
+func (g *group) leave(ctx context.Context, node *replica.Node, now time.Time) {
+	status := node.Status(now)
+	if status.IsLeader {
+		node.TransferLeadership()
+		return
+	}
+	leader, _ := g.leader(now)
+	if leader == "" || leader == g.router.settings.Router.AdvertisedAddr() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peer.CallTimeout)
+	defer cancel()
+	var reply peer.LeaveReply
+	err := g.router.clients.Call(ctx, leader, "Leave", &peer.LeaveRequest{Name: status.Name}, &reply)
+	if err == nil {
+		err = peer.Err(reply.Kind, reply.Detail)
+	}
+	if err != nil {
+		g.router.log.Debug("request to leave failed", "leader", leader, "error", err.Error())
+	}
+}
+
 // leader returns the address and the term of the leader. The address is empty if no
 // leader is known.
 func (g *group) leader(now time.Time) (addr string, term uint64) {
@@ -344,6 +383,15 @@
 	})
 }
 
+// Leave notes that a replica is about to stop if this router is the leader.
+func (g *group) Leave(name string) error {
+	node := g.replica()
+	if node == nil {
+		return bronzerill.Errorf(bronzerill.KindNotLeader, "this router has no replica")
+	}
+	return node.Leave(name)
+}
+
 // callLeader runs a call at the leader, local or remote. It retries at the current leader
 // until ctx is done. A call may take effect more than once, and after callLeader has returned,
 // when newer calls have taken effect. It must be harmless then.
--- a/internal/run/router/web.go
+++ b/internal/run/router/web.go
@@ -124,8 +124,8 @@
 	return p
 }
 
-// drain stops the router gracefully. The router becomes not ready, transfers leadership
-// and serves requests that still arrive. drain returns when no request of a caller or an operator
+// drain stops the router gracefully. The router becomes not ready, transfers leadership, gives up its vote
+// if the group can spare it, and serves requests that still arrive. drain returns when no request of a caller or an operator
 // is in flight, or shortly before the process is killed.
 func (r *Router) drain(ctx context.Context) {
 	plan := newStopPlan(time.Now(), r.settings.Router.StopTimeout.Duration)
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -69,6 +69,8 @@
 	"neighbour.ReadReply.2":      peer.ReadReply{},
 	"neighbour.JoinRequest":      peer.JoinRequest{},
 	"neighbour.JoinReply":        peer.JoinReply{},
+	"neighbour.LeaveRequest":     peer.LeaveRequest{},
+	"neighbour.LeaveReply":       peer.LeaveReply{},
 	"neighbour.DirectoryReply":   peer.DirectoryReply{},
 	"neighbour.StreamRequest":    peer.StreamRequest{},
 	"neighbour.StreamReply":      peer.StreamReply{},
