--- a/internal/control/replica/core.go
+++ b/internal/control/replica/core.go
@@ -125,10 +125,11 @@
 	// seenFolders maps a sender to the first data folder that it reported. It
 	// applies until the member list contains the sender's folder.
 	seenFolders map[string]string
-	// transferTo is the target of a leadership transfer, or empty.
-	transferTo string
-	selfRepair bool
-	losses     int
+	// transferTo is the target of a leadership transfer until transferUntil, or empty.
+	transferTo    string
+	transferUntil time.Time
+	selfRepair    bool
+	losses        int
 	// leaving maps the members that asked to leave to the end of their requests.
 	leaving map[string]time.Time
 }
@@ -305,11 +306,23 @@
 }
 
 func (c *Core) broadcast(now time.Time) {
-	for name := range c.peers {
+	for _, name := range c.peerNames() {
 		c.sendAppend(now, name, false)
 	}
 }
 
+// peerNames returns the names of the tracked members in the order of the member list, so that the same events
+// always have the same result.
+func (c *Core) peerNames() []string {
+	names := make([]string, 0, len(c.peers))
+	for _, m := range c.members.List {
+		if c.peers[m.Name] != nil {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
 func (c *Core) send(m Message) {
 	m.From = c.name
 	m.Identity = c.identity
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -29,11 +29,14 @@
 		c.becomeFollower(now, c.hard.Term, "")
 		return
 	}
+	if c.transferTo != "" && !now.Before(c.transferUntil) {
+		c.transferTo = ""
+	}
 	if now.Before(c.heartbeatAt) {
 		return
 	}
 	c.heartbeatAt = now.Add(HeartbeatInterval)
-	for name := range c.peers {
+	for _, name := range c.peerNames() {
 		c.peers[name].paused = false
 		c.sendAppend(now, name, true)
 	}
@@ -103,34 +106,45 @@
 	c.appendEntry(EntryNone, nil)
 	// A granted vote doesn't say when its request was sent, so votes don't count
 	// for the lease. The lease starts with the first answered heartbeat.
-	for name := range c.peers {
+	for _, name := range c.peerNames() {
 		c.peers[name].ackedSentAt = c.sinceEpoch(now) - LeaderLease
 		c.sendAppend(now, name, true)
 	}
 }
 
-// TransferLeadership chooses the voter with the longest matching log and asks it
-// to campaign as soon as its log is complete.
-func (c *Core) TransferLeadership(_ time.Time) {
-	if c.role != leader {
+// transferTimeout is the time in which the target of a transfer must have campaigned. Meanwhile the
+// leader accepts nothing.
+const transferTimeout = ElectionTimeout
+
+// TransferLeadership chooses the voter with the longest matching log and asks it to campaign as soon
+// as its log is complete. It prefers voters that have answered a short time ago, since the leader accepts
+// nothing during a transfer.
+func (c *Core) TransferLeadership(now time.Time) {
+	if c.role != leader || c.transferTo != "" {
 		return
 	}
 	best := ""
-	for name, p := range c.peers {
-		if !c.members.IsVoter(name) {
-			continue
-		}
-		if best == "" || p.match > c.peers[best].match {
+	for _, name := range c.peerNames() {
+		if c.members.IsVoter(name) && !c.isLeaving(now, name) && (best == "" || c.isBetterTarget(now, name, best)) {
 			best = name
 		}
 	}
 	if best == "" {
 		return
 	}
-	c.transferTo = best
+	c.transferTo, c.transferUntil = best, now.Add(transferTimeout)
 	c.sendTimeoutNow()
 }
 
+// isBetterTarget reports whether a voter is a better target of a transfer than another one.
+func (c *Core) isBetterTarget(now time.Time, name, other string) bool {
+	silent, otherSilent := c.isSilent(now, name, briefSilence), c.isSilent(now, other, briefSilence)
+	if silent != otherSilent {
+		return otherSilent
+	}
+	return c.peers[name].match > c.peers[other].match
+}
+
 func (c *Core) sendTimeoutNow() {
 	if p := c.peers[c.transferTo]; p != nil && p.match == c.log.last() {
 		c.send(Message{Type: MessageTimeoutNow, To: c.transferTo, Term: c.hard.Term})
--- a/internal/control/replica/replacement_test.go
+++ b/internal/control/replica/replacement_test.go
@@ -361,3 +361,25 @@
 		}
 	}
 }
+
+// Guards against a leader that stops and hands over to a voter that has just died: it took no change until its
+// process ended (noticed by the second review).
+func TestLeaderThatHandsOverToADeadVoterTakesChanges(t *testing.T) {
+	for seed := range uint64(10) {
+		for _, silence := range []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond} {
+			g := newMachineGroup(t, seed, 1, "a", "b", "c")
+			g.acknowledge(time.Second, "")
+			lead := g.awaitLeader()
+			for _, name := range g.addrs {
+				if name != lead {
+					g.crash(name)
+					break
+				}
+			}
+			g.pass(silence)
+			g.nodes[lead].core.TransferLeadership(g.now)
+			g.processReady(lead)
+			g.acknowledge(drainTime, fmt.Sprintf("seed %d, %v after a voter died", seed, silence))
+		}
+	}
+}
