Router: the bodies of all requests and responses keep to one memory budget

Cause: each body was bounded by 8 MB, but not their sum, and each request body was copied once more for each server that got it. Long heads count in the budget all the same. Change: a budget of 20% of memory-mb.

--- a/internal/router/caller/call.go
+++ b/internal/router/caller/call.go
@@ -24,7 +24,7 @@
 		Target:    c.r.RequestURI,
 		Host:      c.r.Host,
 		Header:    c.cfg.Dialect.ForwardHeader(c.r.Header, options),
-		Body:      c.body,
+		Body:      c.body.Bytes(),
 		FreshConn: !c.route.MayRepeat(),
 		Witness:   !c.statesStartTime(),
 		MaySend:   c.maySend,
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -130,6 +130,11 @@
 // finish ends the call, and records and logs how it went.
 func (c *serverCall) finish(a attempt) {
 	c.release()
+	if a.failure != nil {
+		c.kept = append(c.kept, &c.held)
+	} else {
+		c.held.Free()
+	}
 	if c.r.Context().Err() != nil || c.isGivenUp() {
 		a.outcome = placement.OutcomeNone
 	}
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 	"bronzerill/internal/operator/journal"
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/router/declared"
+	"bronzerill/internal/router/memory"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
 	"bronzerill/internal/wire/httpabort"
@@ -34,6 +34,8 @@
 	Servers *placement.Table
 	Client  *server.Client
 	Streams Streams
+	// Memory is what the bodies of all requests and responses may take.
+	Memory *memory.Budget
 	// Routes returns the current declared state, or nil before it is known.
 	Routes func() *declared.Table
 	// Clock returns the current time.
@@ -73,8 +75,14 @@
 
 var _ http.Handler = (*Handler)(nil)
 
+// defaultMemory is what bodies may take in bytes unless the configuration says otherwise.
+const defaultMemory = 256 << 20
+
 // NewHandler returns a handler with the given configuration.
 func NewHandler(cfg Config) *Handler {
+	if cfg.Memory == nil {
+		cfg.Memory = memory.NewBudget(defaultMemory)
+	}
 	return &Handler{
 		cfg:         cfg,
 		answeredLog: journal.NewLimiter("answered", maxAnsweredLines),
@@ -98,9 +106,11 @@
 		r:       r,
 		request: h.cfg.Dialect.ParseRequest(r.Header),
 		start:   h.cfg.Clock(),
+		body:    h.cfg.Memory.NewBuffer(r.ContentLength),
 
 		deliveries: make(chan delivery),
 	}
+	defer e.freeMemory()
 	e.retryAfter = noStateRetryAfter
 	if kind := e.admit(); kind != bronzerill.KindNone {
 		e.endWithError(kind, e.retryAfter)
@@ -117,8 +127,10 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	request RequestInfo
-	body    []byte
-	start   time.Time
+	body    memory.Buffer
+	// kept are the bodies of failed responses, which may be forwarded at the end.
+	kept  []*memory.Buffer
+	start time.Time
 	// deadline is when the caller's or the route's timeout expires.
 	deadline time.Time
 	// table is the declared state at the start. It decides who may call and which service the
@@ -224,18 +236,33 @@
 	return a
 }
 
+// readBody reads the body of the request. It refuses one that is too large, or for which there is no
+// memory, as soon as that is known.
 func (e *exchange) readBody() bronzerill.Kind {
 	defer e.limitBodyRead()()
-	var err error
-	e.body, err = io.ReadAll(io.LimitReader(e.r.Body, maxBody+1))
-	switch {
-	case err != nil:
-		e.retryAfter = stopRetryAfter
-		return e.canceledKind()
-	case len(e.body) > maxBody:
+	if e.r.ContentLength > maxBody {
 		return bronzerill.KindBodyTooLarge
 	}
-	return bronzerill.KindNone
+	kind := bronzerill.KindOverloaded
+	if e.cfg.Memory.Fits(e.r.ContentLength) {
+		err := e.body.ReadAll(e.r.Body, maxBody)
+		if kind = bronzerill.KindOf(err); kind == bronzerill.KindInternal {
+			e.retryAfter = stopRetryAfter
+			return e.canceledKind()
+		}
+	}
+	if kind == bronzerill.KindOverloaded {
+		e.retryAfter = defaultRetryAfter
+	}
+	return kind
+}
+
+// freeMemory gives back what the bodies of the exchange take.
+func (e *exchange) freeMemory() {
+	e.body.Free()
+	for _, body := range e.kept {
+		body.Free()
+	}
 }
 
 // computeFingerprint returns the hash of everything that stays the same when a
@@ -247,7 +274,7 @@
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(e.body)
+	_, _ = h.Write(e.body.Bytes())
 	return placement.Fingerprint(h.Sum64())
 }
 
--- a/internal/router/caller/servercall.go
+++ b/internal/router/caller/servercall.go
@@ -14,6 +14,7 @@
 	"bronzerill"
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/router/declared"
+	"bronzerill/internal/router/memory"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
 )
@@ -58,7 +59,7 @@
 	response *server.Response
 	// held is what has arrived of the body and wasn't forwarded. Its first complete bytes are
 	// whole events, if the response is a stream.
-	held     []byte
+	held     memory.Buffer
 	complete int
 	scanner  eventScanner
 	// whole is set once the response has ended and nothing of it is missing.
@@ -193,6 +194,7 @@
 
 func (c *serverCall) acceptHeader(response *server.Response) (a attempt, failed bool) {
 	c.response = response
+	c.held = c.cfg.Memory.NewBuffer(response.Length)
 	c.cfg.Servers.ConfirmUp(c.cfg.Clock(), c.choice, c.service.ColdStart)
 	info := c.cfg.Dialect.ParseResponse(response.Status, response.Header)
 	c.applyStatements(info)
@@ -205,8 +207,14 @@
 	if c.headWritten && !c.continuesStream(response, info) {
 		return notContinued(response.Status), true
 	}
-	if c.isStream() && !info.Signed {
+	switch {
+	case c.isStream() && !info.Signed:
 		return attempt{kind: bronzerill.KindCrossed, run: bronzerill.RunDone, outcome: placement.OutcomeFailed}, true
+	case c.isStream():
+	case response.Length > maxBody:
+		return truncated("body too large"), true
+	case !c.cfg.Memory.Fits(response.Length):
+		return noMemory(), true
 	}
 	return attempt{}, false
 }
@@ -221,15 +229,17 @@
 	if c.isStream() {
 		c.countBytes()
 		if complete := c.scanner.scan(data); complete > 0 {
-			c.complete = len(c.held) + complete
+			c.complete = c.held.Len() + complete
 			c.progressed = true
 		}
 	}
-	c.held = append(c.held, data...)
+	if !c.held.Append(data) {
+		return noMemory(), true
+	}
 	switch {
 	case c.scanner.open > maxEventBytes:
 		return truncated("event too large"), true
-	case !c.isStream() && len(c.held) > maxBody:
+	case !c.isStream() && c.held.Len() > maxBody:
 		return truncated("body too large"), true
 	}
 	return attempt{}, false
@@ -272,7 +282,7 @@
 	case status >= http.StatusInternalServerError:
 		return attempt{
 			kind: bronzerill.KindServerFailed, run: bronzerill.RunDone, outcome: placement.OutcomeFailed,
-			failure: &failure{status, c.response.Header, c.held},
+			failure: &failure{status, c.response.Header, c.held.Bytes()},
 		}, true
 	}
 	return attempt{}, false
--- a/internal/router/caller/stream.go
+++ b/internal/router/caller/stream.go
@@ -65,6 +65,11 @@
 	return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeFailed, detail: detail}
 }
 
+// noMemory is the attempt of a response for which the router has no memory left.
+func noMemory() attempt {
+	return attempt{kind: bronzerill.KindTruncated, run: bronzerill.RunDone, outcome: placement.OutcomeNone, detail: "no memory left for the response"}
+}
+
 // hasEvents reports whether a response states that its body consists of events.
 func hasEvents(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
@@ -87,10 +92,10 @@
 			// Single bytes of an event don't show that the server makes progress.
 			c.dropStandbys()
 		}
-		if !c.forwardEvents(c.held[:n]) {
+		if !c.forwardEvents(c.held.Bytes()[:n]) {
 			return attempt{kind: bronzerill.KindCanceled, run: bronzerill.RunDone, outcome: placement.OutcomeNone}, true
 		}
-		c.held = append(c.held[:0], c.held[n:]...)
+		c.held.Discard(n)
 		if c.complete > 0 {
 			c.complete = 0
 			c.watchSilence()
@@ -108,7 +113,7 @@
 	if c.route.Resumable {
 		return c.complete
 	}
-	return len(c.held)
+	return c.held.Len()
 }
 
 // completeStream ends a stream that has arrived as a whole.
@@ -127,10 +132,10 @@
 // forwardResponse sends a whole response that isn't a stream.
 func (c *serverCall) forwardResponse() attempt {
 	c.copyHeader(c.response.Header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(c.held)))
+	c.w.Header().Set("Content-Length", strconv.Itoa(c.held.Len()))
 	c.w.WriteHeader(c.response.Status)
 	c.headWritten = true
-	if _, err := c.w.Write(c.held); err != nil {
+	if _, err := c.w.Write(c.held.Bytes()); err != nil {
 		return attempt{kind: bronzerill.KindCanceled, run: bronzerill.RunDone, outcome: placement.OutcomeAnswered}
 	}
 	c.cfg.Servers.Answered(c.fingerprints)
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bronzerill"
+	"bronzerill/internal/router/memory"
 	"bronzerill/internal/wire/httpheader"
 )
 
@@ -94,6 +95,9 @@
 type Config struct {
 	// Clock returns the current time.
 	Clock func() time.Time
+	// Memory is what long headers of responses may take, with all else that is counted in it. Without it,
+	// each header is bounded by itself.
+	Memory *memory.Budget
 }
 
 // Client sends calls to servers.
@@ -151,11 +155,15 @@
 func (c *Client) exchange(ctx context.Context, conn *clientConn, witness *Witness, call Call) (*Response, error) {
 	request := newRequest(call)
 	stop := context.AfterFunc(ctx, func() { _ = conn.reset() })
+	if c.cfg.Memory != nil {
+		conn.limited.share, conn.limited.counted = c.cfg.Memory.NewShare(), true
+	}
 	write := startWrite(conn, request, len(call.Body))
 	response, err := c.readResponse(conn, request, call.Match) //nolint:bodyclose // the body of the returned Response closes it
 	if err != nil {
 		stop()
 		_ = conn.reset()
+		conn.limited.share.Free()
 		witness.release()
 		written := write.bytesWritten()
 		run := bronzerill.RunUnknown
@@ -236,7 +244,7 @@
 // readResponse returns the response that belongs to the call and skips others.
 func (c *Client) readResponse(conn *clientConn, request *http.Request, match func(http.Header) Match) (*http.Response, error) {
 	foreign := 0
-	conn.limited.remaining = maxHeadBytes
+	conn.limited.beginHead()
 	for {
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
@@ -248,7 +256,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		conn.limited.remaining = unlimited
+		conn.limited.endHead()
 		switch match(response.Header) {
 		case MatchOwn:
 			return response, nil
@@ -266,7 +274,7 @@
 		if n == maxSkippedBytes {
 			return nil, errors.New("response to another request too large")
 		}
-		conn.limited.remaining = maxHeadBytes
+		conn.limited.beginHead()
 	}
 }
 
@@ -294,13 +302,11 @@
 
 func (w *requestWrite) run(request *http.Request) {
 	defer close(w.done)
-	var buffer bytes.Buffer
-	// The buffer grows once. Growing it by doubling costs three times the size of a
-	// large request.
-	buffer.Grow(asyncBodySize + int(request.ContentLength))
-	// Writing to memory fails only if the request can't be encoded.
-	if w.err = request.Write(&buffer); w.err == nil {
-		_, w.err = w.writer.Write(buffer.Bytes())
+	if request.ContentLength > asyncBodySize {
+		// A copy of each large body would take as much memory again.
+		w.err = request.Write(w.writer)
+	} else {
+		w.err = w.writeAtOnce(request)
 	}
 	if w.err != nil {
 		// The response may have arrived already, so the reader gets a short deadline.
@@ -308,6 +314,18 @@
 	}
 }
 
+// writeAtOnce writes a small request with one call.
+func (w *requestWrite) writeAtOnce(request *http.Request) error {
+	var buffer bytes.Buffer
+	buffer.Grow(asyncBodySize + int(request.ContentLength))
+	// Writing to memory fails only if the request can't be encoded.
+	if err := request.Write(&buffer); err != nil {
+		return err
+	}
+	_, err := w.writer.Write(buffer.Bytes())
+	return err
+}
+
 // isDone reports whether the whole request was written.
 func (w *requestWrite) isDone() bool {
 	select {
@@ -351,6 +369,7 @@
 		return nil
 	}
 	b.closed = true
+	b.conn.limited.share.Free()
 	b.witness.release()
 	active := b.stop()
 	if active && b.atEOF && b.reusable && b.write.isDone() && b.conn.reader.Buffered() == 0 {
--- a/internal/router/server/endless_test.go
+++ b/internal/router/server/endless_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bronzerill/internal/router/memory"
 )
 
 // maxEndlessBytes is far above what a client may read of a response without an end, and above
@@ -52,3 +54,27 @@
 		})
 	}
 }
+
+// Guards against long headers of many responses at once (issue 46). Usual ones need no memory of the budget.
+func TestLongHeadersAreCountedTogether(t *testing.T) {
+	for _, test := range []struct {
+		budget int64
+		fields int
+		fails  bool
+	}{{0, 10, false}, {0, 2000, true}, {longHeadMemory, 2000, true}, {2 * longHeadMemory, 2000, false}, {2 * longHeadMemory, 10, false}} {
+		s := startServer(t, func(conn *net.TCPConn, _ int) {
+			send(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n"+strings.Repeat("A: bcdefg\r\n", test.fields)+"\r\nok")
+		})
+		budget := memory.NewBudget(test.budget)
+		client := NewClient(Config{Clock: time.Now, Memory: budget})
+		for range 2 {
+			response, err := client.Do(testContext(t), newCall(s.addr()))
+			require.Equal(t, test.fails, err != nil, "%+v: %v", test, err)
+			if err == nil {
+				_, err = readBody(t, response)
+				require.NoError(t, err)
+			}
+		}
+		require.Zero(t, budget.Used(), "all is given back")
+	}
+}
--- a/internal/router/server/limit.go
+++ b/internal/router/server/limit.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"bronzerill/internal/router/memory"
 )
 
 // Limits of what a server may send besides the body of the response. A faulty server can
@@ -14,6 +16,10 @@
 	// maxHeadBytes is the maximum size of a response header, with the interim responses
 	// before it.
 	maxHeadBytes = 64 << 10
+	// usualHeadBytes is the size up to which the memory of a header isn't counted, and longHeadMemory what the
+	// fields of a longer one take at most, many of which may be short.
+	usualHeadBytes = 8 << 10
+	longHeadMemory = 4 * maxHeadBytes
 	// maxSkippedBytes is the maximum size of the body of a response to another request.
 	maxSkippedBytes = 1 << 20
 	// maxStatus is the highest status of HTTP.
@@ -27,13 +33,25 @@
 type limitedReader struct {
 	io.Reader
 	remaining int64
+	// share is what a long header takes.
+	share memory.Share
+	// counted is set if the memory of headers is counted.
+	counted bool
 }
 
-// Read reads at most the remaining bytes.
+// beginHead limits what is read until the end of the header.
+func (r *limitedReader) beginHead() { r.remaining = maxHeadBytes }
+
+func (r *limitedReader) endHead() { r.remaining = unlimited }
+
+// Read reads at most the remaining bytes. It fails if there is no memory for a header that is unusually long.
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if r.remaining <= 0 {
 		return 0, errors.New("response header too large")
 	}
+	if r.counted && r.remaining <= maxHeadBytes-usualHeadBytes && !r.share.Resize(longHeadMemory) {
+		return 0, errors.New("no memory left for the response header")
+	}
 	n, err := r.Reader.Read(p[:min(int64(len(p)), r.remaining)])
 	if r.remaining != unlimited {
 		r.remaining -= int64(n)
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -20,6 +20,7 @@
 
 	"bronzerill/internal/operator/journal"
 	"bronzerill/internal/router/caller"
+	"bronzerill/internal/router/memory"
 	"bronzerill/internal/router/peer"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
@@ -38,6 +39,11 @@
 	// collected more often. The rest is for sockets and for the heap's growth beyond the
 	// limit until garbage is collected.
 	heapPercent = 40
+	// bodyPercent is the share of the memory that the bodies of requests and responses may take. With the
+	// router's own data it stays below heapPercent, so that the collection of garbage keeps up.
+	bodyPercent = 20
+	// defaultBodyMemory is what bodies may take without a memory limit, in bytes.
+	defaultBodyMemory = 256 << 20
 	// reloadInterval is the time between checks of the settings file, which may change
 	// without a signal.
 	reloadInterval = time.Second
@@ -57,10 +63,12 @@
 	handler      *caller.Handler
 	holder       *stateHolder
 	group        *group
-	list         *listPoller
-	directory    *directoryClient
-	streams      *streamRegistry
-	versions     *versionHistory
+	// memory is what the bodies of all requests and responses may take.
+	memory    *memory.Budget
+	list      *listPoller
+	directory *directoryClient
+	streams   *streamRegistry
+	versions  *versionHistory
 	// ports holds the open ports by the keys of their settings.
 	ports    map[string]*httpdrain.Port
 	stopping atomic.Bool
@@ -128,8 +136,9 @@
 		peers:   peer.NewTable(self, seeds, seed),
 		clients: peer.NewClients(secret),
 		servers: placement.NewTable(placement.Config{Name: s.Name, Zone: s.Zone, Seed: seed}),
-		client:  server.NewClient(server.Config{Clock: time.Now}),
+		memory:  memory.NewBudget(bodyMemory(*s.Router)),
 	}
+	r.client = server.NewClient(server.Config{Clock: time.Now, Memory: r.memory})
 	savedPeers, err := readSavedPeers(s.Router.DataFolder)
 	if err != nil {
 		// The router also finds its peers through the seeds, but later.
@@ -153,7 +162,7 @@
 	r.directory = newDirectoryClient(now, r)
 	r.group = newGroup(r, secret)
 	r.handler = caller.NewHandler(caller.Config{
-		Dialect: adapter, Servers: r.servers, Client: r.client, Streams: r.streams, Routes: r.holder.Table, Clock: time.Now, Log: log,
+		Dialect: adapter, Servers: r.servers, Client: r.client, Streams: r.streams, Routes: r.holder.Table, Clock: time.Now, Log: log, Memory: r.memory,
 	})
 	return r, nil
 }
@@ -166,6 +175,14 @@
 	return netrpc.Secret(secret), err
 }
 
+// bodyMemory returns what bodies may take in bytes.
+func bodyMemory(r file.Router) int64 {
+	if r.MemoryMB == 0 {
+		return defaultBodyMemory
+	}
+	return int64(r.MemoryMB) << 20 * bodyPercent / 100
+}
+
 func placementLimits(r file.Router) placement.Limits {
 	return placement.Limits{
 		RetryRatio:   float64(r.Bounds.RetryRatio),
--- a/internal/run/router/web.go
+++ b/internal/run/router/web.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bronzerill/internal/router/caller"
+	"bronzerill/internal/router/memory"
 	"bronzerill/internal/wire/httpabort"
 	"bronzerill/internal/wire/httpdrain"
 )
@@ -26,6 +27,9 @@
 	// maxHeader is the maximum size of the headers of a request, or of a response to a
 	// router's own calls, in bytes.
 	maxHeader = 64 << 10
+	// operatorBodyFactor is what a call of an operator takes, as a multiple of its body: the body and the
+	// command with it.
+	operatorBodyFactor = 2
 )
 
 // Timing of a graceful stop.
@@ -60,7 +64,7 @@
 	}{
 		{callersKey, s.Callers, r.handler},
 		{"router.readiness", s.Readiness, r.adapter.ReadinessHandler(r.Ready)},
-		{operatorsKey, s.Operators, r.adapter.OperatorHandler(r.group)},
+		{operatorsKey, s.Operators, memory.LimitBodies(r.memory, operatorBodyFactor, r.adapter.OperatorHandler(r.group))},
 		{"router.metrics", s.Metrics, metrics},
 	}
 	for _, port := range ports {
