Control group: founded by all seeds with a disk, not by one

Cause: one replica founded the group alone, and nobody else was allowed to. Ruled out: elections and requests to join; there is no group to hold them in. Change: the lowest seed gives all seeds with a disk the same list of founders, with their data folders. If it has lost its disk, the next one chooses once all seeds say that they know no list.

--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -85,8 +85,10 @@
 // Node drives one replica: it saves, sends and applies the work of the core.
 // Its methods may be called concurrently, but Run only once.
 type Node struct {
-	cfg              NodeConfig
-	name             string
+	cfg  NodeConfig
+	name string
+	// founders are the members for which the data folder was initialised.
+	founders         Members
 	core             *Core
 	messages         chan Message
 	proposals        chan proposal
@@ -147,6 +149,7 @@
 	n := &Node{
 		cfg:              cfg,
 		name:             saved.Identity.Name,
+		founders:         saved.Identity.Members,
 		core:             core,
 		messages:         make(chan Message, inputQueueSize),
 		proposals:        make(chan proposal, inputQueueSize),
@@ -165,6 +168,9 @@
 // Name returns the replica's name.
 func (n *Node) Name() string { return n.name }
 
+// Founders returns the members that founded the group, none if the replica joins a group.
+func (n *Node) Founders() Members { return n.founders }
+
 // Status returns the replica's view of its group. The lease is checked at now.
 func (n *Node) Status(now time.Time) Status {
 	n.mu.Lock()
--- a/internal/control/replica/store.go
+++ b/internal/control/replica/store.go
@@ -71,9 +71,27 @@
 
 var _ Store = (*BoltStore)(nil)
 
+// NewFolderID returns a random ID for a data folder.
+func NewFolderID() (string, error) {
+	random := make([]byte, 16)
+	if _, err := rand.Read(random); err != nil {
+		return "", errors.Wrap(err, "generate data folder ID")
+	}
+	return hex.EncodeToString(random), nil
+}
+
 // InitStore creates the replica file in a data folder. It returns an error if
 // the folder already holds one.
 func InitStore(folder, name string, members Members) error {
+	id, err := NewFolderID()
+	if err != nil {
+		return err
+	}
+	return InitStoreAs(folder, Identity{Name: name, Folder: id, Members: members})
+}
+
+// InitStoreAs is InitStore for a data folder of which the ID was chosen before.
+func InitStoreAs(folder string, id Identity) error {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return errors.Wrap(err, "create data folder")
 	}
@@ -81,16 +99,11 @@
 	if _, err := os.Stat(path); err == nil {
 		return errors.Errorf("%s exists: the data folder is initialised already", path)
 	}
-	random := make([]byte, 16)
-	if _, err := rand.Read(random); err != nil {
-		return errors.Wrap(err, "generate data folder ID")
-	}
 	// The file gets its final name only once it is complete.
 	tempPath := path + ".new"
 	if err := os.RemoveAll(tempPath); err != nil {
 		return errors.Wrap(err, "remove unfinished replica file")
 	}
-	id := Identity{Name: name, Folder: hex.EncodeToString(random), Members: members}
 	if err := writeIdentity(tempPath, id); err != nil {
 		return err
 	}
--- a/internal/router/peer/call.go
+++ b/internal/router/peer/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bronzerill"
+	"bronzerill/internal/control/replica"
 	"bronzerill/internal/control/state"
 	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/placement"
@@ -125,11 +126,36 @@
 	Versions []state.NotedVersion
 }
 
-// BootstrapRequest asks for permission to bootstrap the control group.
-type BootstrapRequest struct{ Name, Addr string }
+// BootstrapRequest asks a router for the founders of the control group. The sender is ready to be one of them.
+type BootstrapRequest struct {
+	Name, Addr string
+	// Folder is the ID that the sender's data folder will have.
+	Folder string
+}
 
-// BootstrapReply grants or denies the permission. Only one replica gets it.
-type BootstrapReply struct{ Granted bool }
+// BootstrapState is what a router knows of the founders.
+type BootstrapState uint8
+
+// The values of BootstrapState.
+const (
+	// BootstrapUnknown means that the router doesn't know yet.
+	BootstrapUnknown BootstrapState = iota
+	// BootstrapFounded means that the founders are chosen.
+	BootstrapFounded
+	// BootstrapCandidate means that the router knows of no founders and is ready to be one of them.
+	BootstrapCandidate
+	// BootstrapBlank means that the router knows of no founders and never will be one.
+	BootstrapBlank
+)
+
+// BootstrapReply says what a router knows of the founders.
+type BootstrapReply struct {
+	// Granted isn't used any more.
+	Granted bool
+	State   BootstrapState
+	// Founders is set in the state BootstrapFounded.
+	Founders replica.Members
+}
 
 // Handler answers the calls of peers.
 type Handler interface {
@@ -140,7 +166,7 @@
 	ZoneRevision(ctx context.Context, zone string) (ZoneRevision, error)
 	Join(ctx context.Context, r JoinRequest) error
 	Leave(name string) error
-	GrantBootstrap(r BootstrapRequest) bool
+	Bootstrap(r BootstrapRequest) BootstrapReply
 	Directory(now time.Time) placement.DirectorySnapshot
 	StreamVersion(stream StreamKey) (placement.VersionKey, bool)
 	Versions(ctx context.Context) ([]state.NotedVersion, error)
@@ -249,10 +275,9 @@
 	return nil
 }
 
-// Found grants one replica permission to bootstrap the control group. Its name is fixed,
-// since peers call it by name.
+// Found replies with the founders of the control group. Its name is fixed, since peers call it by name.
 func (r *RPC) Found(in *BootstrapRequest, out *BootstrapReply) error {
-	out.Granted = r.handler.GrantBootstrap(*in)
+	*out = r.handler.Bootstrap(*in)
 	return nil
 }
 
--- a/internal/run/router/bootstrap.go
+++ b/internal/run/router/bootstrap.go
@@ -9,74 +9,105 @@
 	"bronzerill/internal/router/peer"
 )
 
-// initFolder initializes an empty data folder. One replica bootstraps the group as its
-// only member. All others start without members and join.
+// initFolder initializes an empty data folder. At the first start of the fleet, the replica may be one of the
+// founders of the group. All others join it under a new name, since a replica with the configured name may have voted
+// before its folder was lost.
 func (g *group) initFolder(ctx context.Context, folder string) error {
-	name := g.router.settings.Name
-	if !g.router.settings.Router.Bootstrap {
-		// A replica with the configured name may have voted before its folder was lost,
-		// so the replica gets a new name.
-		name = replica.NewName(name)
-		g.router.log.Info("data folder initialized", "replica", name, "founder", false)
-		return replica.InitStore(folder, name, replica.Members{})
+	own := g.router.settings
+	id, err := replica.NewFolderID()
+	if err != nil {
+		return err
 	}
-	founder := g.mayBootstrap(ctx)
-	if ctx.Err() != nil {
-		return nil
+	g.mu.Lock()
+	g.founding.setEmpty(own.Router.Bootstrap)
+	g.mu.Unlock()
+	identity := replica.Identity{Name: own.Name, Folder: id}
+	if own.Router.Bootstrap {
+		identity.Members = g.awaitFounders(ctx, peer.BootstrapRequest{Name: own.Name, Addr: own.Router.AdvertisedAddr(), Folder: id})
+		if ctx.Err() != nil {
+			return nil
+		}
 	}
-	members := replica.Members{}
-	if founder {
-		members = members.With(replica.Member{Name: name, Addr: g.router.settings.Router.AdvertisedAddr(), Voter: true})
+	if len(identity.Members.List) == 0 {
+		identity.Name = replica.NewName(own.Name)
 	}
-	g.router.log.Info("data folder initialized", "replica", name, "founder", founder)
-	return replica.InitStore(folder, name, members)
+	g.router.log.Info("data folder initialized", "replica", identity.Name, "founders", len(identity.Members.List))
+	return replica.InitStoreAs(folder, identity)
 }
 
-// mayBootstrap asks for permission to bootstrap the group, until it gets an answer or
-// knows a leader. It asks the lowest seed address, so that all replicas ask the same
-// router.
-func (g *group) mayBootstrap(ctx context.Context) bool {
-	seeds := g.router.peers.Seeds()
-	grantor := slices.Min(seeds)
-	self := g.router.settings.Router
-	request := peer.BootstrapRequest{Name: g.router.settings.Name, Addr: self.AdvertisedAddr()}
-	if grantor == self.AdvertisedAddr() {
-		return g.GrantBootstrap(request)
-	}
+// awaitFounders asks the seeds for the founders until these are chosen, or a leader is known. It returns an empty list
+// if the replica isn't one of them.
+func (g *group) awaitFounders(ctx context.Context, own peer.BootstrapRequest) replica.Members {
 	for ctx.Err() == nil {
 		if leader, _ := g.router.peers.Leader(time.Now()); leader != "" {
-			return false
+			break
 		}
-		var reply peer.BootstrapReply
-		callCtx, cancel := context.WithTimeout(ctx, peer.CallTimeout)
-		err := g.router.clients.Call(callCtx, grantor, "Found", &request, &reply)
-		cancel()
-		if err == nil {
-			return reply.Granted
+		if founders, chosen := g.askForFounders(ctx, own); chosen {
+			return foundersFor(own, founders)
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(bootstrapRetryDelay):
 		}
 	}
-	return false
+	return replica.Members{}
 }
 
-// GrantBootstrap permits one replica to bootstrap the group: this router's own replica if
-// it has a disk, else the first that asks. A router whose settings exclude it from the
-// bootstrap permits none.
-func (g *group) GrantBootstrap(r peer.BootstrapRequest) bool {
+// askForFounders asks the seeds in the order of their addresses. This replica chooses the founders if it is the first
+// seed that may be one, and none of the others knows any.
+func (g *group) askForFounders(ctx context.Context, own peer.BootstrapRequest) (founders replica.Members, chosen bool) {
+	seeds := slices.Sorted(slices.Values(g.router.peers.Seeds()))
+	if len(seeds) > 0 && seeds[0] == own.Addr {
+		// Only this router could have chosen any, and its folder is empty since the first start.
+		return g.chooseFounders(own, seeds, nil)
+	}
+	required := []string{}
+	for _, seed := range seeds {
+		if seed == own.Addr {
+			continue
+		}
+		reply := g.askSeed(ctx, seed, own)
+		switch {
+		case reply.State == peer.BootstrapFounded:
+			return reply.Founders, true
+		case reply.State == peer.BootstrapBlank:
+		case reply.State == peer.BootstrapCandidate && seed > own.Addr:
+			required = append(required, seed)
+		default:
+			return founders, false
+		}
+	}
+	if !slices.Contains(seeds, own.Addr) {
+		return founders, false
+	}
+	return g.chooseFounders(own, seeds, required)
+}
+
+func (g *group) chooseFounders(own peer.BootstrapRequest, seeds, required []string) (founders replica.Members, chosen bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	own := g.router.settings.Router
-	if !own.Bootstrap {
-		return false
-	}
-	if own.DataFolder != "" {
-		return r.Addr == own.AdvertisedAddr()
+	return g.founding.choose(time.Now(), &own, seeds, required)
+}
+
+// askSeed returns what a seed knows of the founders. A seed that doesn't answer may know them.
+func (g *group) askSeed(ctx context.Context, seed string, own peer.BootstrapRequest) peer.BootstrapReply {
+	ctx, cancel := context.WithTimeout(ctx, peer.CallTimeout)
+	defer cancel()
+	var reply peer.BootstrapReply
+	if err := g.router.clients.Call(ctx, seed, "Found", &own, &reply); err != nil {
+		g.router.log.Debug("founders not known", "seed", seed, "error", err.Error())
+		return peer.BootstrapReply{}
 	}
-	if g.bootstrapGrantee == "" {
-		g.bootstrapGrantee = r.Addr
+	return reply
+}
+
+// Bootstrap returns what this router knows of the founders, and records that the sender may be one of them.
+func (g *group) Bootstrap(r peer.BootstrapRequest) peer.BootstrapReply {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.node != nil && len(g.node.Founders().List) == 0 && len(g.node.Status(time.Now()).Members.List) > 0 {
+		// It has joined a group. Another one must not be founded, even if that one has lost its founders.
+		return peer.BootstrapReply{}
 	}
-	return g.bootstrapGrantee == r.Addr
+	return g.founding.answer(time.Now(), g.router.settings.Router.AdvertisedAddr(), g.router.peers.Seeds(), r)
 }
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -44,11 +44,9 @@
 	secret netrpc.Secret
 	mu     sync.Mutex
 	// node is nil until the replica runs, and on instances without a disk.
-	node    *replica.Node
-	machine *state.Machine
-	// bootstrapGrantee is the address of the replica that first asked this router for
-	// permission to bootstrap the group.
-	bootstrapGrantee string
+	node     *replica.Node
+	machine  *state.Machine
+	founding founding
 	// leaderSeenAt is when this replica last knew a leader.
 	leaderSeenAt time.Time
 	// lastContact is when an earlier node of this process last heard from a leader, zero before
@@ -58,7 +56,7 @@
 }
 
 func newGroup(r *Router, secret netrpc.Secret) *group {
-	return &group{router: r, secret: secret}
+	return &group{router: r, secret: secret, founding: newFounding(time.Now(), r.settings.Router.DataFolder != "", r.settings.Router.Bootstrap)}
 }
 
 var _ peer.Handler = (*group)(nil)
@@ -165,6 +163,7 @@
 	g.mu.Lock()
 	g.node = node
 	g.machine = machine
+	g.founding.setOpened(node.Founders())
 	g.leaderSeenAt = time.Now()
 	g.mu.Unlock()
 	g.router.log.Info("replica started", "replica", node.Name(), "applied", node.Status(time.Now()).Applied)
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -78,7 +78,9 @@
 	"neighbour.ListReply.3":      peer.ListReply{},
 	"neighbour.StateReply.2":     peer.StateReply{},
 	"neighbour.FoundRequest":     peer.BootstrapRequest{},
+	"neighbour.FoundRequest.2":   peer.BootstrapRequest{},
 	"neighbour.FoundReply":       peer.BootstrapReply{},
+	"neighbour.FoundReply.2":     peer.BootstrapReply{},
 }
 
 // packedMessages are stored, or sent in other ways, as msgpack.
@@ -115,6 +117,8 @@
 	},
 	"control.RegisterRequest":  func(message any) { message.(*control.RegisterRequest).Process = "" },
 	"neighbour.ProposeRequest": func(message any) { message.(*peer.ProposeRequest).Base = peer.ZoneRevision{} },
+	"neighbour.FoundRequest":   func(message any) { message.(*peer.BootstrapRequest).Folder = "" },
+	"neighbour.FoundReply":     func(message any) { *message.(*peer.BootstrapReply) = peer.BootstrapReply{Granted: true} },
 	"neighbour.ReadRequest":    func(message any) { message.(*peer.ReadRequest).Zone = "" },
 	"neighbour.ReadReply":      func(message any) { message.(*peer.ReadReply).ZoneRevision = peer.ZoneRevision{} },
 	"neighbour.StateReply":     func(message any) { message.(*peer.StateReply).Versions = nil },
