--- a/internal/control/replica/core.go
+++ b/internal/control/replica/core.go
@@ -32,8 +32,12 @@
 	maxInflightEntries = 1024
 	// maxAppendBytes bounds the entries of one append message, and maxInflightBytes those that
 	// are sent to a member without an acknowledgement. One entry may exceed them.
-	maxAppendBytes   = 512 << 10
-	maxInflightBytes = 2 << 20
+	maxAppendBytes   = 128 << 10
+	maxInflightBytes = 1 << 20
+	// maxReplayBytes bounds the entries that a learner gets, or replayFactor times a snapshot if that is more. Beyond
+	// it, the learner gets a new snapshot.
+	maxReplayBytes = 256 << 10
+	replayFactor   = 3
 	// maxUncommittedBytes bounds the uncommitted entries with which the leader still accepts
 	// proposals. They are in memory while no quorum saves them.
 	maxUncommittedBytes = 16 << 20
--- a/internal/control/replica/members.go
+++ b/internal/control/replica/members.go
@@ -72,6 +72,17 @@
 	return true
 }
 
+// names returns the names of the voters, or of the learners.
+func (m Members) names(voters bool) []string {
+	var names []string
+	for _, member := range m.List {
+		if member.Voter == voters {
+			names = append(names, member.Name)
+		}
+	}
+	return names
+}
+
 // IsVoter reports whether the member with the given name is a voter.
 func (m Members) IsVoter(name string) bool {
 	member, ok := m.Get(name)
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -96,6 +96,10 @@
 	reads            chan chan error
 	pendingReads     []pendingRead
 	pendingProposals map[uint64]pendingProposal
+	// loggedMembers is the index of the member list that was logged last, and progressLoggedAt is when the
+	// progress of the members was.
+	loggedMembers    uint64
+	progressLoggedAt time.Time
 	// snapshotIndex is the applied index of the last snapshot, finished or in
 	// progress.
 	snapshotIndex uint64
@@ -236,7 +240,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			n.withLock(func(now time.Time) { n.core.Tick(now) })
+			n.withLock(func(now time.Time) {
+				n.core.Tick(now)
+				n.logProgress(now)
+			})
 		case m := <-n.messages:
 			n.withLock(func(now time.Time) { n.drainMessages(now, m) })
 		case p := <-n.proposals:
@@ -353,7 +360,31 @@
 	pending.reply <- proposalResult{err: bronzerill.Errorf(bronzerill.KindNotLeader, "leadership was lost")}
 }
 
+// progressLogInterval is the time between two log lines on the same member that is behind.
+const progressLogInterval = time.Second
+
+// logProgress logs how far members of the leader's group are behind. Without it, a replica that gets nothing looks like
+// one that is down.
+func (n *Node) logProgress(now time.Time) {
+	if !n.core.IsLeader() || now.Sub(n.progressLoggedAt) < progressLogInterval {
+		return
+	}
+	n.progressLoggedAt = now
+	for _, name := range n.core.peerNames() {
+		p := n.core.peers[name]
+		silence := n.core.sinceEpoch(now) - max(p.ackedSentAt, p.trackedSince)
+		if p.match < n.core.hard.Commit || silence > briefSilence {
+			n.cfg.Log.Info("member is behind", "replica", name, "voter", n.core.Members().IsVoter(name), "match", p.match, "next", p.next,
+				"commit", n.core.hard.Commit, "base", n.core.log.base, "silent-ms", silence.Milliseconds())
+		}
+	}
+}
+
 func (n *Node) publishStatus() {
+	if index := n.core.membersIndex; index != n.loggedMembers {
+		n.loggedMembers = index
+		n.cfg.Log.Info("members changed", "index", index, "voters", n.core.Members().names(true), "learners", n.core.Members().names(false), "leads", n.core.IsLeader())
+	}
 	n.status = Status{
 		Name:     n.name,
 		Leader:   n.core.Leader(),
--- a/internal/control/replica/node_test.go
+++ b/internal/control/replica/node_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -96,12 +97,19 @@
 	t         *testing.T
 	mu        sync.Mutex
 	processes map[string]*process
+	// snapshotEvery is the setting SnapshotEvery, 0 for 40.
+	snapshotEvery uint64
+	// sent counts the bytes of data that were sent, by receiver.
+	sent map[string]int
 }
 
 // Send passes a message on. A node that is down loses it.
 func (g *nodeGroup) Send(m Message, _ string) {
 	g.mu.Lock()
 	p := g.processes[m.To]
+	if g.sent != nil {
+		g.sent[m.To] += m.bytes()
+	}
 	g.mu.Unlock()
 	if p != nil && p.node != nil {
 		p.node.Deliver(m)
@@ -114,7 +122,7 @@
 	p := &process{folder: folder, machine: &sumMachine{}, store: store}
 	p.node, err = NewNode(NodeConfig{
 		Store: wrap(store), StateMachine: p.machine, Transport: g, Log: hclog.NewNullLogger(),
-		Clock: time.Now, Seed: uint64(len(folder)) + uint64(name[0]), Addr: name, SnapshotEvery: 40,
+		Clock: time.Now, Seed: uint64(len(folder)) + uint64(name[0]), Addr: name, SnapshotEvery: cmp.Or(g.snapshotEvery, 40),
 	})
 	require.NoError(g.t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/control/replica/selfrepair.go
+++ b/internal/control/replica/selfrepair.go
@@ -8,6 +8,9 @@
 	// spare replaces it if it is a voter. It is longer than a restart, and short
 	// enough for the replacement to become a voter within the required 4 s.
 	silenceTimeout = 2500 * time.Millisecond
+	// learnerSilence is the silence after which a learner is removed that has never voted. It costs little, and
+	// over a link that loses packets it answers late.
+	learnerSilence = 10 * time.Second
 	// maxVoters is the number of voters at which the promotion of learners stops.
 	maxVoters = 7
 )
@@ -51,7 +54,12 @@
 // withoutSilentLearner removes a learner that has been silent for too long.
 func (c *Core) withoutSilentLearner(now time.Time) (Members, bool) {
 	for _, m := range c.members.List {
-		if !m.Voter && c.isSilent(now, m.Name, silenceTimeout) {
+		timeout := learnerSilence
+		if m.Folder != "" {
+			// It was a voter, and asks to join when it is back.
+			timeout = silenceTimeout
+		}
+		if !m.Voter && c.isSilent(now, m.Name, timeout) {
 			return c.members.Without(m.Name), true
 		}
 	}
--- a/internal/control/replica/snapshot.go
+++ b/internal/control/replica/snapshot.go
@@ -108,7 +108,10 @@
 // large one doesn't delay heartbeats.
 func (n *Node) startSnapshot() {
 	applied := n.core.Applied()
-	due := applied >= n.snapshotIndex+n.cfg.SnapshotEvery || n.bytesSinceSnapshot >= n.cfg.SnapshotBytes
+	n.mu.Lock()
+	due := applied >= n.snapshotIndex+n.cfg.SnapshotEvery || n.bytesSinceSnapshot >= n.cfg.SnapshotBytes ||
+		n.bytesSinceSnapshot > maxReplayBytes && n.core.awaitsSnapshot()
+	n.mu.Unlock()
 	if n.snapshotting || !due {
 		return
 	}
--- a/internal/control/replica/step.go
+++ b/internal/control/replica/step.go
@@ -215,13 +215,20 @@
 		c.sendSnapshot(now, to, p)
 		return
 	}
+	window := min(maxAppendBytes, maxInflightBytes-c.inflightBytes(p))
+	if c.needsSnapshot(to) {
+		if !heartbeat {
+			return
+		}
+		window = 0
+	}
 	m := Message{
 		Type:    MessageAppend,
 		To:      to,
 		Term:    c.hard.Term,
 		Index:   prev,
 		LogTerm: prevTerm,
-		Entries: c.log.sliceBytes(prev, c.log.last(), maxAppendEntries, min(maxAppendBytes, maxInflightBytes-c.inflightBytes(p))),
+		Entries: c.log.sliceBytes(prev, c.log.last(), maxAppendEntries, window),
 		Commit:  c.hard.Commit,
 		SentAt:  c.sinceEpoch(now),
 	}
@@ -234,6 +241,25 @@
 	c.send(m)
 }
 
+// needsSnapshot reports whether a learner would get too much of the log. The next snapshot of this replica truncates the
+// log, so that the learner gets that.
+func (c *Core) needsSnapshot(to string) bool {
+	p := c.peers[to]
+	if c.members.IsVoter(to) || p.next > c.log.last() {
+		return false
+	}
+	limit := maxReplayBytes
+	if c.snapshot != nil {
+		limit = max(limit, replayFactor*len(c.snapshot.Data))
+	}
+	return entryBytes(c.log.slice(max(p.next-1, c.log.base), c.log.last(), len(c.log.entries))) > limit
+}
+
+// awaitsSnapshot reports whether a learner of this leader needs a snapshot.
+func (c *Core) awaitsSnapshot() bool {
+	return c.role == leader && slices.ContainsFunc(c.peerNames(), c.needsSnapshot)
+}
+
 // inflightBytes returns the size of the entries that were sent to a member without an
 // acknowledgement.
 func (c *Core) inflightBytes(p *progress) int {
--- a/internal/control/replica/transport.go
+++ b/internal/control/replica/transport.go
@@ -18,9 +18,14 @@
 const (
 	peerQueueSize    = 4096
 	maxBatchMessages = 128
-	// maxBatchBytes is the size of a batch from which on it takes no further message.
-	maxBatchBytes  = 1 << 20
+	// maxBatchBytes is the size of a batch from which on it takes no further message. What has arrived of a
+	// batch that times out is lost.
+	maxBatchBytes  = 128 << 10
 	deliverTimeout = 400 * time.Millisecond
+	// lossyTransferRate is the lowest rate in bytes per second over a link that loses packets, and maxLossTime the
+	// longest time that such a link gets beyond the others.
+	lossyTransferRate = 256 << 10
+	maxLossTime       = 600 * time.Millisecond
 )
 
 // Batch carries messages to one replica, in order.
@@ -28,7 +33,11 @@
 
 // timeout returns the time limit of the delivery. Data extends it by an amount that depends
 // on its size.
-func (b *Batch) timeout() time.Duration { return deliverTimeout + deliveryTime(b.bytes()) }
+func (b *Batch) timeout() time.Duration {
+	size := b.bytes()
+	lost := min(time.Duration(size)*time.Second/lossyTransferRate, maxLossTime)
+	return deliverTimeout + max(lost, deliveryTime(size))
+}
 
 // bytes returns the size of the data of the messages.
 func (b *Batch) bytes() int {
