--- a/cmd/bronzerill-soak/fleet.go
+++ b/cmd/bronzerill-soak/fleet.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +19,8 @@
 // node is one router process with its settings and state.
 type node struct {
 	index int
+	// generation counts the machines that the router's machine has replaced, one after another.
+	generation int32
 	// hasDisk is set if the router has a data folder.
 	hasDisk bool
 	// bootstrap allows the router to found the control group. It is set only for the first
@@ -46,12 +49,14 @@
 	ports    map[string]int
 	mu       sync.Mutex
 	nodes    []*node
+	// generations are those of the nodes.
+	generations []atomic.Int32
 }
 
 // newFleet chooses free ports, opens the links and removes the logs and data of an
 // earlier run of the seed. It starts no router.
 func newFleet(cfg config, listAddr string) (*fleet, error) {
-	f := &fleet{cfg: cfg, listAddr: listAddr, ports: make(map[string]int)}
+	f := &fleet{cfg: cfg, listAddr: listAddr, ports: make(map[string]int), generations: make([]atomic.Int32, cfg.routers)}
 	for _, name := range []string{"callers", "readiness", "operators", "internal", "metrics"} {
 		var err error
 		if f.ports[name], err = f.freePort(); err != nil {
@@ -112,12 +117,18 @@
 
 // addr returns the address of one of a router's ports.
 func (f *fleet) addr(i int, port string) string {
-	return fmt.Sprintf("127.0.0.%d:%d", i+1, f.ports[port])
+	return f.addrOf(i, f.generations[i].Load(), port)
+}
+
+func (f *fleet) addrOf(i int, generation int32, port string) string {
+	return fmt.Sprintf("127.0.%d.%d:%d", 2*generation, i+1, f.ports[port])
 }
 
 // linkAddr returns the address at which other routers reach a router.
-func (f *fleet) linkAddr(i int) string {
-	return fmt.Sprintf("127.0.1.%d:%d", i+1, f.ports["internal"])
+func (f *fleet) linkAddr(i int) string { return f.linkAddrOf(i, f.generations[i].Load()) }
+
+func (f *fleet) linkAddrOf(i int, generation int32) string {
+	return fmt.Sprintf("127.0.%d.%d:%d", 2*generation+1, i+1, f.ports["internal"])
 }
 
 // dataFolder returns the data folder of a router; empty if it has no disk.
@@ -125,16 +136,17 @@
 	if !n.hasDisk {
 		return ""
 	}
-	return filepath.Join(f.cfg.folder, fmt.Sprintf("data-%d-%d", n.index, n.wipes))
+	return filepath.Join(f.cfg.folder, fmt.Sprintf("data-%d-%d-%d", n.index, n.generation, n.wipes))
 }
 
 // settings returns the content of a router's settings file.
 func (f *fleet) settings(n *node) string {
+	addr := func(port string) string { return f.addrOf(n.index, n.generation, port) }
 	var seeds []string
 	for i := range min(3, f.cfg.routers) {
 		seeds = append(seeds, fmt.Sprintf("%q", f.linkAddr(i)))
 	}
-	return fmt.Sprintf(`name = "router-%d"
+	return fmt.Sprintf(`name = "router-%d-%d"
 zone = "zone-%d"
 [router]
 callers = %q
@@ -148,18 +160,19 @@
 data-folder = %q
 instance-list = %q
 losses = 1
+memory-mb = %d
 stop-timeout = "8s"
 [router.bounds]
 retry-ratio = "0.2"
 retry-slack = "62"
 load-multiple = "2"
-`, n.index, n.index%3, f.addr(n.index, "callers"), f.addr(n.index, "readiness"), f.addr(n.index, "operators"),
-		f.addr(n.index, "internal"), f.linkAddr(n.index), f.addr(n.index, "metrics"), strings.Join(seeds, ", "), n.bootstrap, f.dataFolder(n), f.listAddr)
+`, n.index, n.generation, n.index%3, addr("callers"), addr("readiness"), addr("operators"),
+		addr("internal"), f.linkAddrOf(n.index, n.generation), addr("metrics"), strings.Join(seeds, ", "), n.bootstrap, f.dataFolder(n), f.listAddr, memoryMB)
 }
 
 // start starts a router. After a restart it appends to the same log file.
 func (f *fleet) start(n *node) error {
-	path := filepath.Join(f.cfg.folder, fmt.Sprintf("router-%d.toml", n.index))
+	path := filepath.Join(f.cfg.folder, fmt.Sprintf("router-%d-%d.toml", n.index, n.generation))
 	if err := os.WriteFile(path, []byte(f.settings(n)), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -86,6 +86,11 @@
 			stopCallers()
 			return nil, "", err
 		}
+		if err := replaceCore(cfg, f, w, o, rand.New(rand.NewPCG(cfg.seed, 13))); err != nil {
+			stopCallers()
+			return nil, "", err
+		}
+		spoilAnswers(f, w, c, rand.New(rand.NewPCG(cfg.seed, 14)))
 		w.overtakeOrders(o, rand.New(rand.NewPCG(cfg.seed, 5)))
 		statements := new(errgroup.Group)
 		statements.Go(func() error { w.stateInTurn(rand.New(rand.NewPCG(cfg.seed, 3))); return nil })
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -71,6 +71,8 @@
 	// oddEntry is an entry of another writer in the list, nil if there is none.
 	oddEntry atomic.Pointer[string]
 	loads    engineLoads
+	// spoils is set while servers spoil some of their answers.
+	spoils atomic.Bool
 	// hasStrays is set while servers write refusals of other requests before responses.
 	hasStrays atomic.Bool
 }
@@ -270,6 +272,10 @@
 		other.answer(rw)
 		return
 	}
+	if spoil := spoiledAnswer(id); w.spoils.Load() && spoil != nil {
+		spoil.write(rw)
+		return
+	}
 	var parts []string
 	if !isStreamPath(path.Dir(r.URL.Path) + "/") {
 		time.Sleep(20 * time.Millisecond)
