--- a/internal/control/replica/fewervoters.go
+++ b/internal/control/replica/fewervoters.go
@@ -43,15 +43,13 @@
 	if gone := c.goneVoter(now); gone != "" {
 		return c.members.Without(gone), true
 	}
-	if !c.maySpare(1) {
+	if !c.maySpareVoter() {
 		return Members{}, false
 	}
-	name := ""
+	name := c.leavingVoter(now)
 	if c.members.Voters()%2 == 0 {
-		// Of an even number of voters, the others need one less without this one than with it.
+		// Of an even number of voters, the others need one less without a silent one than with it.
 		name = c.mostSilentVoter(now, surplusSilence)
-	} else {
-		name = c.leavingVoter(now)
 	}
 	if name == "" {
 		return Members{}, false
@@ -61,10 +59,8 @@
 	return c.members.With(m), true
 }
 
-// maySpare reports whether the group without a number of voters still bears the configured losses.
-func (c *Core) maySpare(voters int) bool {
-	return c.members.Voters()-voters >= 2*c.losses+1
-}
+// maySpareVoter reports whether the group with one voter less still bears the configured losses.
+func (c *Core) maySpareVoter() bool { return c.members.Voters()-1 >= 2*c.losses+1 }
 
 // leavingVoter returns a voter other than the leader that asked to leave, or an empty string.
 func (c *Core) leavingVoter(now time.Time) string {
--- a/internal/control/replica/selfrepair.go
+++ b/internal/control/replica/selfrepair.go
@@ -39,7 +39,7 @@
 // withLostVoterReplaced lets a spare voter replace a lost one, or else removes a silent learner.
 func (c *Core) withLostVoterReplaced(now time.Time) (Members, bool) {
 	lost := c.lostVoter(now)
-	if lost != "" && c.maySpare(1) {
+	if lost != "" && c.maySpareVoter() {
 		for _, m := range c.members.List {
 			if m.Voter && m.Spare && m.Name != lost && !c.isSilent(now, m.Name, silenceTimeout) {
 				m.Spare = false
