--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -39,10 +39,19 @@
 mutant "a leader's lease outlasts its contact with the quorum" $R/core.go 's/c\.quorumAck\(now\) < LeaderLease$/c.quorumAck(now) < 10*LeaderLease/' $R 'TestPartitionedLeader|TestSeeded|TestSuspendedLeaderHasNoLease'
 mutant "log entries of older terms are committed by counting replicas" $R/step.go 's/ok \&\& term == c\.hard\.Term \{/ok \&\& term > 0 {/' $R TestOlderTerms
 mutant "a vote isn't persisted" $R/ready.go 's/hardChanged := .*/hardChanged := false/' $R TestVoteIsSaved
-mutant "a learner votes before it has caught up" $R/repair.go 's/case !m\.Voter \&\& c\.caughtUp\(m\.Name\) \&\& c\.seenFolders.*/case !m.Voter:/' $R TestLearner
+mutant "a learner votes before it has caught up" $R/repair.go 's/case !m\.Voter \&\& c\.caughtUp\(m\.Name\) \&\& c\.folderOf.*/case !m.Voter:/' $R TestLearner
 mutant "append messages aren't bounded in bytes" $R/step.go 's/min\(maxAppendBytes, maxInflightBytes-c\.inflightBytes\(p\)\)/1<<40/' $R TestMessagesToALagging
 mutant "batches aren't bounded in bytes" $R/transport.go 's/ \&\& b\.bytes\(\) < maxBatchBytes//' $R TestMessagesToALagging
 mutant "writes continue after a disk failure" $R/node.go 's/return n\.fail\(err\)/_ = err/' $R TestDiskFailure
+mutant "review: a replica that leaves keeps its vote" $R/fewervoters.go 's/^\tc\.leaving\[name\] = .*/\t_ = leaveTimeout/' $R TestDiskLost
+mutant "review: one of an even number of voters keeps its vote in silence" $R/fewervoters.go 's/if c\.members\.Voters\(\)%2 == 0 \{/if false {/' $R 'TestDiskLost'
+mutant "review: a vote is given up that is needed" $R/fewervoters.go 's/return c\.members\.Voters\(\)-1 >= 2\*c\.losses\+1 \}/return true }/' internal/run/router TestStoppingRouterKeeps
+mutant "review: a transfer of the leadership has no end" $R/election.go 's/if c\.transferTo != "" \&\& !now\.Before\(c\.transferUntil\) \{/if false {/' $R TestLeaderThatHandsOver
+mutant "review: a learner gets the whole log" $R/step.go 's/^\tif c\.members\.IsVoter\(to\) \|\| p\.next > c\.log\.last\(\) \{/\tif true {/' $R TestNewReplicaCatchesUp
+mutant "review: a stated length sizes a buffer" internal/router/caller/servercall.go 's/if response\.Length >= 0 \&\& response\.Length < partSize \{/if response.Length >= 0 {/; s/^\tdefer c\.containPanic\(\)//' internal/router/caller TestImpossible
+mutant "review: invalid statuses are passed on" internal/router/server/limit.go 's/ \&\& status != http\.StatusSwitchingProtocols$/ || http.StatusOK > 0/' internal/router/caller TestImpossible
+mutant "review: bodies aren't bounded together" internal/router/memory/budget.go 's/more > 0 \&\& used > s\.budget\.limit\(size\)/used < 0/' internal/router/memory TestBodyThatDoesNotFit
+mutant "review: a seed that is restarted knows no founders" internal/run/router/founding.go 's/^\tif len\(founders\.List\) > 0 \{/\tif false {/' internal/run/router 'TestAnswerOfASeed|TestSeedIs'
 mutant "claims with an unknown outcome may run again" $S/ledger.go 's/record\.State = ClaimUnknown/record.State = ClaimReleased/' $A/service 'TestAtMostOnce|TestFaultAtEachStep'
 mutant "claims of a lost process are released" $S/ledger.go 's/r\.State = ClaimUnknown/r.State = ClaimReleased/' $A/service 'TestAtMostOnce|TestFaultAtEachStep'
 mutant "a late duplicate of a released claim is granted" $S/ledger.go 's/if record\.Attempt == c\.Attempt \{$/if false {/' $A/service 'TestFaultAtEachStep'
