Unframed responses: a connection that was reset is no end of a response

What callers saw: a server answered a long upload at once with a 200 that had neither a length nor chunks, sent a part and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: the kernel reports the error of a connection once, to whichever call comes first. The goroutine that writes the request gets ECONNRESET; the read of the body then returns 0 bytes, which is io.EOF. The check of unframed responses asks only whether the server's process has outlived the response, which it has. Ruled out: the parser (a reset that a read reports is an error, and with a length or chunks the end is known), the witness (a process that lives on answers rightly).

Change: tcp.Conn asks the kernel for the connection's state (TCP_INFO) when its data ends. After a close of the peer it is CLOSE_WAIT, after a reset or a timeout CLOSE, whoever was told the error. Where the kernel doesn't say, a failed write counts. Routers also ask after the status call: a server that closes while bytes arrive resets the connection a moment after its close. All HTTP clients use it, through httpresponse.Transport: engines, services, entries to agents, lists, cached prompts, hand-overs, operators.

Services behind agents were safe: without a length or chunks their outcome is unknown anyway. witness_test.go reaches the net.TCPConn through one more field; nothing else in it has changed.

--- a/internal/agent/engine/client.go
+++ b/internal/agent/engine/client.go
@@ -16,6 +16,7 @@
 	"bronzerill"
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/httpheader"
+	"bronzerill/internal/wire/httpresponse"
 )
 
 // Headers and paths of the engine's published protocol.
@@ -72,7 +73,7 @@
 
 // NewClient returns a client of one engine.
 func NewClient(cfg ClientConfig) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
+	transport := httpresponse.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true})
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/agent/service/client.go
+++ b/internal/agent/service/client.go
@@ -19,6 +19,7 @@
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/exchange"
 	"bronzerill/internal/wire/httpheader"
+	"bronzerill/internal/wire/httpresponse"
 )
 
 // Limits of one call.
@@ -93,9 +94,9 @@
 
 // transport returns a transport for one call. It sets connected when it has
 // made a connection, since bytes may reach the service from then on.
-func (c *Client) transport(connected *atomic.Bool) *http.Transport {
+func (c *Client) transport(connected *atomic.Bool) *httpresponse.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return httpresponse.NewTransport(&http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -105,7 +106,7 @@
 			}
 			return conn, err
 		},
-	}
+	})
 }
 
 // returnRedirect makes the HTTP client return a redirect instead of following
--- a/internal/entry/agent/client.go
+++ b/internal/entry/agent/client.go
@@ -15,6 +15,7 @@
 	"bronzerill"
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/httpresponse"
 )
 
 // Limits and timeouts of the client.
@@ -88,14 +89,14 @@
 	return c
 }
 
-func (c *Client) newTransport(disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
+func (c *Client) newTransport(disableKeepAlives bool) *httpresponse.Transport {
+	return httpresponse.NewTransport(&http.Transport{
 		DialContext:         c.cfg.Dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
-	}
+	})
 }
 
 // Close closes idle connections.
--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -15,6 +15,7 @@
 	"bronzerill"
 	"bronzerill/internal/control/operator"
 	"bronzerill/internal/settings/file"
+	"bronzerill/internal/wire/httpresponse"
 )
 
 // Limits of calls to operator ports.
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, settingsError{err}
 	}
-	return &client{addrs: addrs, secret: secret, http: &http.Client{Timeout: callTimeout}}, nil
+	return &client{addrs: addrs, secret: secret, http: &http.Client{Timeout: callTimeout, Transport: httpresponse.NewDefaultTransport()}}, nil
 }
 
 // Submit submits the ticket in a file. It returns when the ticket is accepted, which is
--- a/internal/platform/list/list.go
+++ b/internal/platform/list/list.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"bronzerill/internal/wire/httpresponse"
 	"bronzerill/internal/wire/jsonlist"
 )
 
@@ -57,7 +58,7 @@
 // NewSource returns a source for a location, which is an HTTP URL or a file path.
 func NewSource(location string) Source {
 	if strings.HasPrefix(location, "http://") || strings.HasPrefix(location, "https://") {
-		return httpSource{url: location, client: &http.Client{Timeout: fetchTimeout}}
+		return httpSource{url: location, client: &http.Client{Timeout: fetchTimeout, Transport: httpresponse.NewDefaultTransport()}}
 	}
 	return fileSource{path: location}
 }
--- a/internal/router/caller/unframed.go
+++ b/internal/router/caller/unframed.go
@@ -24,10 +24,11 @@
 
 // checkUnframed returns nil if a response without a length or chunks is known to be whole, and errCutOff
 // otherwise. Its body ends in the same way if the server's process ends, so the process must have
-// outlived it.
+// outlived it. A server that closes the connection while the request is still being written resets it
+// with the next bytes that arrive there, a moment after the body has ended.
 func (c *serverCall) checkUnframed(response *server.Response) error {
 	endedAt := c.cfg.Clock()
-	whole := c.hasOutlived(response.Witness)
+	whole := c.hasOutlived(response.Witness) && !response.IsReset()
 	c.logUnframed(endedAt, whole)
 	if !whole {
 		return errCutOff
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -86,8 +86,13 @@
 	// Witness is the second connection, nil if the call required none or none could be
 	// opened. It is valid until the body is closed.
 	Witness *Witness
+	conn    *clientConn
 }
 
+// IsReset reports whether the server has reset the connection, also after the body has ended. It is valid until
+// the body is closed.
+func (r *Response) IsReset() bool { return r.conn.IsReset() }
+
 // errConnClosed means that a connection was closed before a call was sent on it.
 var errConnClosed = errors.New("connection closed while it was idle")
 
@@ -181,7 +186,7 @@
 	body.reusable = body.reusable && framed
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: body,
-		Length: response.ContentLength, Framed: framed, Witness: witness,
+		Length: response.ContentLength, Framed: framed, Witness: witness, conn: conn,
 	}, nil
 }
 
--- a/internal/router/server/conn.go
+++ b/internal/router/server/conn.go
@@ -52,7 +52,7 @@
 
 // clientConn is one connection to a server.
 type clientConn struct {
-	net.Conn
+	*tcp.Conn
 	// reader reads from limited.
 	reader  *bufio.Reader
 	limited *limitedReader
@@ -148,7 +148,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -184,8 +184,9 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	limited := &limitedReader{Reader: c, remaining: unlimited}
-	return &clientConn{Conn: c, reader: bufio.NewReaderSize(limited, readBuffer), limited: limited, addr: addr, usableUntil: farFuture}, nil
+	conn := tcp.NewConn(c)
+	limited := &limitedReader{Reader: conn, remaining: unlimited}
+	return &clientConn{Conn: conn, reader: bufio.NewReaderSize(limited, readBuffer), limited: limited, addr: addr, usableUntil: farFuture}, nil
 }
 
 // farFuture is the idle deadline for servers that announce no idle timeout.
--- a/internal/router/server/witness_test.go
+++ b/internal/router/server/witness_test.go
@@ -75,7 +75,7 @@
 	response, err := client.Do(testContext(t), withWitness(newCall(s.addr())))
 	require.NoError(t, err)
 	require.False(t, response.Framed)
-	require.NoError(t, response.Witness.conn.Conn.(*net.TCPConn).CloseRead())
+	require.NoError(t, response.Witness.conn.Conn.Conn.(*net.TCPConn).CloseRead())
 	_, err = response.Witness.Do(testContext(t), newCall(s.addr()))
 	require.Error(t, err)
 	_, err = response.Witness.Do(testContext(t), newCall(s.addr()))
--- a/internal/run/agent/handover.go
+++ b/internal/run/agent/handover.go
@@ -15,6 +15,7 @@
 	"bronzerill/internal/operator/metrics"
 	wire "bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/httpresponse"
 	"bronzerill/internal/wire/ring"
 )
 
@@ -130,8 +131,9 @@
 		pool:     r.settings.Pool,
 		secret:   r.cfg.Secret,
 		log:      r.cfg.Log,
-		http:     &http.Client{},
+		http:     &http.Client{Transport: httpresponse.NewDefaultTransport()},
 	}
+	defer h.http.CloseIdleConnections()
 	h.run(ctx, r.renewer.View(), r.engine.RecentChats(maxHandoverChats))
 }
 
--- a/internal/run/router/directory.go
+++ b/internal/run/router/directory.go
@@ -16,6 +16,7 @@
 	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/peer"
 	"bronzerill/internal/router/placement"
+	"bronzerill/internal/wire/httpresponse"
 	"bronzerill/platform"
 )
 
@@ -54,7 +55,7 @@
 
 func newDirectoryClient(now time.Time, r *Router) *directoryClient {
 	return &directoryClient{router: r, startedAt: now, client: &http.Client{
-		Timeout: engineTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeader},
+		Timeout: engineTimeout, Transport: httpresponse.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeader}),
 	}}
 }
 
--- a/internal/run/router/list.go
+++ b/internal/run/router/list.go
@@ -12,6 +12,7 @@
 	"bronzerill/internal/router/peer"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/run/ticker"
+	"bronzerill/internal/wire/httpresponse"
 )
 
 // Timing of reads of the list of servers. A server must get no new requests 3 s after
@@ -64,7 +65,7 @@
 }
 
 func newListClient() *http.Client {
-	return &http.Client{Timeout: listTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeader}}
+	return &http.Client{Timeout: listTimeout, Transport: httpresponse.NewTransport(&http.Transport{MaxResponseHeaderBytes: maxHeader})}
 }
 
 func (p *listPoller) setAddress(address string) {
