Lists: one that may be cut off inside its last entry is an error

What would happen: the list of servers comes without a length and is cut off behind a bracket inside an entry, as in {"instances":[{...,"models":[...]} . Callers get 503, since the list counts as whole, last and empty.

Cause: damaged entries don't affect the others. To find the end of a list whose last entry is damaged, the reader takes the last closing bracket, here one of the entry's own; what follows it happened to be valid. Ruled out: other cuts of the servers' list, which leave no valid JSON. The lists of cached prompts and of instances accepted more of them, since nobody looked at the rest of the document.

Change: the rest must be valid JSON, and the reader says if the end wasn't found behind a valid entry. Without a length or chunks such a list is an error, and the last one stays in force. With them, odd entries are skipped as before.

--- a/internal/platform/list/list.go
+++ b/internal/platform/list/list.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"bronzerill/internal/wire/httpheader"
 	"bronzerill/internal/wire/httpresponse"
 	"bronzerill/internal/wire/jsonlist"
 )
@@ -44,6 +45,8 @@
 	Instances []Instance
 	// Invalid is the number of entries that couldn't be decoded. They affect no others.
 	Invalid int
+	// OpenEnd is set if the list may be cut off inside its last entry.
+	OpenEnd bool
 }
 
 // fieldInstances is the field of the platform's JSON document that lists the instances.
@@ -101,7 +104,11 @@
 	if response.StatusCode != http.StatusOK {
 		return Document{}, errors.Errorf("fetch instance list: unexpected status %s", response.Status)
 	}
-	return Parse(response.Body)
+	d, err := Parse(response.Body)
+	if err == nil && d.OpenEnd && !httpheader.IsFramed(response) {
+		return Document{}, errors.New("instance list may be cut off")
+	}
+	return d, err
 }
 
 // Parse decodes a list. It fails if the list exceeds 8 MiB.
@@ -117,7 +124,7 @@
 	if err != nil {
 		return Document{}, errors.Wrap(err, "decode instance list")
 	}
-	d := Document{Invalid: split.Damaged}
+	d := Document{Invalid: split.Damaged, OpenEnd: split.OpenEnd}
 	for _, entry := range split.Entries {
 		var instance Instance
 		if !utf8.Valid(entry) || json.Unmarshal(entry, &instance) != nil || instance.Name == "" {
--- a/internal/wire/jsonlist/split.go
+++ b/internal/wire/jsonlist/split.go
@@ -19,6 +19,9 @@
 	// Damaged is the number of places where an entry had no recognizable end. Reading went on
 	// at the next valid one.
 	Damaged int
+	// OpenEnd is set if no valid entry follows the last damaged one. The document may then have been cut off
+	// inside that entry: the brackets after the list may be its own.
+	OpenEnd bool
 }
 
 // errNoList means that the document has no list in the field.
@@ -36,7 +39,10 @@
 		return Document{}, errors.Wrapf(err, "field %q", field)
 	}
 	rest := append(bytes.Clone(document[:begin]), document[s.position:]...)
-	return Document{Entries: s.entries, Rest: rest, Damaged: s.damaged}, nil
+	if !json.Valid(rest) {
+		return Document{}, errors.Errorf("field %q: document has no valid end", field)
+	}
+	return Document{Entries: s.entries, Rest: rest, Damaged: s.damaged, OpenEnd: s.openEnd}, nil
 }
 
 // findList returns the position after the opening bracket of the list.
@@ -82,6 +88,7 @@
 	position int
 	entries  []json.RawMessage
 	damaged  int
+	openEnd  bool
 	// budget is the number of bytes that may still be scanned to recover from damaged entries.
 	budget int
 }
@@ -150,7 +157,7 @@
 	if last < s.position {
 		return errNoEnd
 	}
-	s.position = last
+	s.position, s.openEnd = last, true
 	return nil
 }
 
--- a/internal/wire/jsonlist/split_test.go
+++ b/internal/wire/jsonlist/split_test.go
@@ -96,3 +96,21 @@
 		require.True(t, json.Valid(split.Rest))
 	})
 }
+
+func TestOpenEnd(t *testing.T) {
+	for list, open := range map[string]bool{
+		`[]`: false, `[{"id":1}]`: false, `[{"id":"a},{"id":2}]`: false, `[{"id":1},{"id":"a]`: true, `[{"id":[1]`: true, `[{"id":"a},{"id":2},{"id":[3]`: true,
+	} {
+		split, err := Split([]byte(`{"list":`+list+`}`), "list")
+		require.NoError(t, err, list)
+		require.Equal(t, open, split.OpenEnd, list)
+	}
+}
+
+// A document without its end may lack fields after the list.
+func TestSplitRejectsDocumentsWithoutAnEnd(t *testing.T) {
+	for _, document := range []string{`{"list":[]`, `{"list":[{"id":1}],`, `{"list":[],"next":"p`, `{"list":[],"next":"p"`} {
+		_, err := Split([]byte(document), "list")
+		require.Error(t, err, document)
+	}
+}
