Heads of responses: bytes that are no status end the response

What callers saw: a server in trouble sent an answer whose status was 000. On other systems the client got it as an answer.

By reading: an entry that is given a status below 100 panics in WriteHeader, and the caller's connection closes without an answer.

Cause: net/http accepts three bytes that strconv.Atoi reads as a number that isn't negative, and its Transport returns any status. Ruled out: the entry's own answers, load reports, orders and lists, which compare with the statuses that they expect.

Change: a HeadChecker looks at each byte of a head before net/http does, and fails the read at a status line that isn't HTTP/1.x and a status of 100 to 599, but for 101. Routers' connections and httpresponse.Transport have one each; it takes the place of the router's own check. An entry ends an exchange whose head has another status than a final one, since agents and ledgers of earlier builds may hold some.

A read that fails in the middle of a line fails again: net/http takes the cut-off line for a whole one and reads on, which would wait for a server that keeps its connection open.

--- a/cmd/bronzerill/brokenanswer_test.go
+++ b/cmd/bronzerill/brokenanswer_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -90,3 +93,29 @@
 		require.Equal(t, part, text, kind)
 	}
 }
+
+// Guards against responses whose status is none (issue 49).
+func TestResponsesWithBrokenHeadsAreNone(t *testing.T) {
+	var heads []string
+	for _, status := range raw.InvalidStatuses() {
+		heads = append(heads, strings.Replace(signedHead, "200", status, 1)+"Content-Length: 4\r\n\r\nbody")
+	}
+	var reached atomic.Int64
+	p := startRouter(t, map[string]http.HandlerFunc{"heads": rawHandler(func(conn *net.TCPConn, r *http.Request, id string, _ io.Reader) {
+		n, err := strconv.Atoi(path.Base(r.URL.Path))
+		if err != nil || n >= len(heads) {
+			return
+		}
+		reached.Add(1)
+		_, _ = io.WriteString(conn, strings.Replace(heads[n], "ID", id, 1))
+	})})
+	for _, kind := range responseKinds {
+		for n, head := range heads {
+			status, text, whole := p.receive(t.Context(), fmt.Sprintf("/heads/%s/%d", kind, n), nil)
+			require.False(t, whole && status < http.StatusInternalServerError, "%s: %q is an answer: %d %q", kind, head, status, text)
+			require.NotZero(t, status, "%s: the caller gets an answer to %q", kind, head)
+		}
+	}
+	t.Logf("%d requests with %d heads reached the server %d times", len(heads)*len(responseKinds), len(heads), reached.Load())
+	require.GreaterOrEqual(t, reached.Load(), int64(len(heads)))
+}
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -249,15 +249,14 @@
 // readResponse returns the response that belongs to the call and skips others.
 func (c *Client) readResponse(conn *clientConn, request *http.Request, match func(http.Header) Match) (*http.Response, error) {
 	foreign := 0
-	conn.limited.beginHead()
+	if err := conn.beginHead(); err != nil {
+		return nil, err
+	}
 	for {
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if !isValidStatus(response.StatusCode) {
-			return nil, errors.Errorf("response with invalid status %d", response.StatusCode)
-		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -279,7 +278,9 @@
 		if n == maxSkippedBytes {
 			return nil, errors.New("response to another request too large")
 		}
-		conn.limited.beginHead()
+		if err := conn.beginHead(); err != nil {
+			return nil, err
+		}
 	}
 }
 
--- a/internal/router/server/conn.go
+++ b/internal/router/server/conn.go
@@ -62,6 +62,15 @@
 	idleSince   time.Time
 }
 
+// beginHead prepares the connection for the header of a response.
+func (c *clientConn) beginHead() error {
+	alreadyRead, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return errors.Wrap(err, "read buffer")
+	}
+	return c.limited.beginHead(alreadyRead)
+}
+
 // reset closes the connection of a call that is given up.
 func (c *clientConn) reset() error { return tcp.Reset(c.Conn) }
 
--- a/internal/router/server/limit.go
+++ b/internal/router/server/limit.go
@@ -3,11 +3,11 @@
 import (
 	"io"
 	"math"
-	"net/http"
 
 	"github.com/pkg/errors"
 
 	"bronzerill/internal/router/memory"
+	"bronzerill/internal/wire/httpresponse"
 )
 
 // Limits of what a server may send besides the body of the response. A faulty server can
@@ -22,25 +22,30 @@
 	longHeadMemory = 4 * maxHeadBytes
 	// maxSkippedBytes is the maximum size of the body of a response to another request.
 	maxSkippedBytes = 1 << 20
-	// maxStatus is the highest status of HTTP.
-	maxStatus = 599
 	// unlimited stands for no limit.
 	unlimited = math.MaxInt64
 )
 
-// limitedReader fails after a number of bytes. Unlike io.LimitedReader it doesn't report an
-// ordinary end.
+// limitedReader fails after a number of bytes, and at an invalid byte of a header. Unlike io.LimitedReader it
+// doesn't report an ordinary end.
 type limitedReader struct {
 	io.Reader
 	remaining int64
+	head      httpresponse.HeadChecker
 	// share is what a long header takes.
 	share memory.Share
 	// counted is set if the memory of headers is counted.
 	counted bool
 }
 
-// beginHead limits what is read until the end of the header.
-func (r *limitedReader) beginHead() { r.remaining = maxHeadBytes }
+// beginHead limits and checks what is read until the end of the header. Its first bytes may have been read
+// already, with the end of another response.
+func (r *limitedReader) beginHead(alreadyRead []byte) error {
+	r.remaining = maxHeadBytes
+	r.head.Begin()
+	_, err := r.head.Check(alreadyRead)
+	return err
+}
 
 func (r *limitedReader) endHead() { r.remaining = unlimited }
 
@@ -49,6 +54,10 @@
 	if r.remaining <= 0 {
 		return 0, errors.New("response header too large")
 	}
+	// net/http reads on after a line that an error has cut off.
+	if err := r.head.Err(); err != nil {
+		return 0, err
+	}
 	if r.counted && r.remaining <= maxHeadBytes-usualHeadBytes && !r.share.Resize(longHeadMemory) {
 		return 0, errors.New("no memory left for the response header")
 	}
@@ -56,11 +65,8 @@
 	if r.remaining != unlimited {
 		r.remaining -= int64(n)
 	}
+	if valid, headErr := r.head.Check(p[:n]); headErr != nil {
+		return valid, headErr
+	}
 	return n, err
 }
-
-// isValidStatus reports whether a status is that of an interim or a final response. The router never
-// asks for another protocol. net/http panics if a status below 100 is forwarded.
-func isValidStatus(status int) bool {
-	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
-}
--- a/internal/wire/exchange/message.go
+++ b/internal/wire/exchange/message.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"bronzerill"
+	"bronzerill/internal/wire/httpresponse"
 )
 
 // Paths of the agent's HTTP server.
@@ -226,6 +227,10 @@
 		if f.Head == nil || f.Head.ID != c.id {
 			return nil, bronzerill.Errorf(bronzerill.KindCrossed, "response head belongs to another request")
 		}
+		// Agents and ledgers of earlier versions passed any status on.
+		if !httpresponse.IsFinal(f.Head.Status) {
+			return nil, bronzerill.Errorf(bronzerill.KindServerFailed, "response has invalid status %d", f.Head.Status)
+		}
 		c.hasHead = true
 		return nil, nil
 	case FrameData:
--- /dev/null
+++ b/internal/wire/httpresponse/head.go
@@ -0,0 +1,125 @@
+package httpresponse
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
+// statusLine is the form of the first line of a head, up to the reason. A 0 stands for any digit.
+const statusLine = "HTTP/1.0 000 "
+
+// Positions in the first line.
+const (
+	statusStart = len("HTTP/1.0 ")
+	statusEnd   = len("HTTP/1.0 000")
+)
+
+// IsFinal reports whether a status is that of a final response.
+func IsFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// isInterim reports whether a status is that of an interim response. Switching protocols is none: nothing here
+// asks for another protocol.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// headPart is a part of a head.
+type headPart uint8
+
+const (
+	// partNone stands for bytes after the head, which aren't checked.
+	partNone headPart = iota
+	// partStatus is the first line up to the reason.
+	partStatus
+	// partText is the reason, or a later line.
+	partText
+	// partLineStart is the start of a line after the first one.
+	partLineStart
+)
+
+// HeadChecker checks the bytes of the head of a response, and of the interim responses before it. net/http accepts
+// any three bytes that it can read as a number for a status.
+type HeadChecker struct {
+	part headPart
+	// position is the number of bytes that precede the next one in the first line.
+	position int
+	status   int
+	afterCR  bool
+	err      error
+}
+
+// Begin begins the check of a head. Before that, all bytes are valid.
+func (c *HeadChecker) Begin() { *c = HeadChecker{part: partStatus} }
+
+// Err returns the error of the bytes checked so far. Nothing more is worth reading then.
+func (c *HeadChecker) Err() error { return c.err }
+
+// Check checks the next bytes, and returns how many of them are valid, with an error if not all are. After an
+// error, none are.
+func (c *HeadChecker) Check(p []byte) (valid int, err error) {
+	for i, b := range p {
+		if c.part == partNone {
+			break
+		}
+		if c.err == nil {
+			c.err = c.checkByte(b)
+		}
+		if c.err != nil {
+			return i, c.err
+		}
+	}
+	return len(p), nil
+}
+
+func (c *HeadChecker) checkByte(b byte) error {
+	switch {
+	case b == '\n':
+		return c.endLine()
+	case b == '\r' && !c.afterCR:
+		c.afterCR = true
+	case c.part == partStatus:
+		return c.checkStatusLine(b)
+	default:
+		c.part, c.afterCR = partText, false
+	}
+	return nil
+}
+
+func (c *HeadChecker) endLine() error {
+	c.afterCR = false
+	switch {
+	case c.part == partStatus && c.position < statusEnd:
+		return errors.New("response has no status")
+	case c.part != partLineStart:
+		c.part = partLineStart
+	case isInterim(c.status):
+		c.Begin()
+	default:
+		c.part = partNone
+	}
+	return nil
+}
+
+func (c *HeadChecker) checkStatusLine(b byte) error {
+	want := statusLine[c.position]
+	if isDigit := b >= '0' && b <= '9'; want == '0' && !isDigit || want != '0' && b != want {
+		return errors.Errorf("response has %q at byte %d of its status line", b, c.position)
+	}
+	if c.position >= statusStart && c.position < statusEnd {
+		c.status = 10*c.status + int(b-'0')
+	}
+	c.position++
+	switch c.position {
+	case statusEnd:
+		if !isInterim(c.status) && !IsFinal(c.status) {
+			return errors.Errorf("response has invalid status %03d", c.status)
+		}
+	case len(statusLine):
+		c.part = partText
+	}
+	return nil
+}
--- a/internal/wire/httpresponse/transport_test.go
+++ b/internal/wire/httpresponse/transport_test.go
@@ -1,6 +1,7 @@
 package httpresponse
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -81,3 +82,18 @@
 	_, _, err := e.get("HTTP/1.1 200 OK\r\n\r\npart")
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
+
+// Guards against responses whose status is none (issue 49). The connection is new, or was used before.
+func TestTransportRejectsInvalidStatuses(t *testing.T) {
+	for _, keeps := range []bool{false, true} {
+		e := newExchanger(t)
+		e.keeps.Store(keeps)
+		for _, status := range raw.InvalidStatuses() {
+			_, _, err := e.get("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+			require.NoError(t, err)
+			got, _, err := e.get("HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\nbody")
+			require.Error(t, err, "%q as %d", status, got)
+			require.NotErrorIs(t, err, context.DeadlineExceeded, "%q", status)
+		}
+	}
+}
