Heads of responses: a field that can't be read ends the response

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank or a control byte. The caller got it as an answer, with a body that was not the server's: at the built router, a Content-Length with a blank, a tab or a line feed at its beginning left "4\r\nbody\r\n0\r\n\r\n" or even the rest of the head as the body, and a Transfer-Encoding likewise.

Cause: net/http lets such lines pass. A name with a blank is kept but frames nothing; a line that begins with a blank or a tab is joined to the one before; a single line feed ends the head; in HTTP/1.0 a transfer encoding is dropped and the chunks are the body. Without a length the body ends with the connection, and since the server lives on, it counted as whole. Ruled out: other control bytes and bytes above 127 in a name, an empty name and a line without a colon; net/http rejects these itself (the tests have them, too).

Heads in TLS (a list by https) aren't checked.

--- a/cmd/bronzerill/brokenanswer_test.go
+++ b/cmd/bronzerill/brokenanswer_test.go
@@ -94,12 +94,20 @@
 	}
 }
 
-// Guards against responses whose status is none (issue 49).
+// Guards against responses whose status is none, or that hold a field that can't be read (issue 49).
 func TestResponsesWithBrokenHeadsAreNone(t *testing.T) {
 	var heads []string
 	for _, status := range raw.InvalidStatuses() {
 		heads = append(heads, strings.Replace(signedHead, "200", status, 1)+"Content-Length: 4\r\n\r\nbody")
 	}
+	for _, field := range []string{"Content-Length: 4", "Transfer-Encoding: chunked"} {
+		for i, line := range raw.UnreadableFields(field) {
+			// The tests of the connections have them all.
+			if i%7 == 0 || strings.ContainsAny(line, "\t\r\n") || strings.Contains(line, " :") {
+				heads = append(heads, signedHead+line+"\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+			}
+		}
+	}
 	var reached atomic.Int64
 	p := startRouter(t, map[string]http.HandlerFunc{"heads": rawHandler(func(conn *net.TCPConn, r *http.Request, id string, _ io.Reader) {
 		n, err := strconv.Atoi(path.Base(r.URL.Path))
--- a/internal/router/server/brokenhead_test.go
+++ b/internal/router/server/brokenhead_test.go
@@ -58,3 +58,15 @@
 	}
 	requireNoResponses(t, heads)
 }
+
+// Guards against names of fields that net/http lets pass although they hold a byte that isn't allowed there
+// (issue 49).
+func TestResponseWithUnreadableFieldIsNone(t *testing.T) {
+	var heads []string
+	for _, field := range []string{"Content-Length: 4", "Transfer-Encoding: chunked", "X-Id: 1"} {
+		for _, line := range raw.UnreadableFields(field) {
+			heads = append(heads, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"+line+"\r\n")
+		}
+	}
+	requireNoResponses(t, heads)
+}
--- a/internal/run/router/client_test.go
+++ b/internal/run/router/client_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
+
+	"bronzerill/internal/standin/raw"
 )
 
 func TestResponseHeaderWithoutEndIsAnError(t *testing.T) {
@@ -47,3 +49,16 @@
 		})
 	}
 }
+
+// Guards against lists in answers whose heads are broken (issue 49).
+func TestBrokenResponseHeaderIsAnError(t *testing.T) {
+	for name, client := range map[string]*http.Client{
+		"engines": newDirectoryClient(time.Now(), nil).client, "list": newListClient(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			accepted, err := raw.AcceptedBy(client)
+			require.NoError(t, err)
+			require.Empty(t, accepted)
+		})
+	}
+}
--- a/internal/wire/httpresponse/head_test.go
+++ b/internal/wire/httpresponse/head_test.go
@@ -77,3 +77,34 @@
 	_, err = c.Check([]byte("HTTP/1.1 200 OK\r\n\r\n" + anyBytes))
 	require.NoError(t, err)
 }
+
+// fields are fields of a response, among them those that state where its body ends.
+var fields = []string{"Content-Length: 4", "Transfer-Encoding: chunked", "Connection: close", "X-Id: 1", "A:"}
+
+// Guards against names of fields that hold a byte that isn't allowed there, of which net/http lets some pass
+// (issue 49).
+func TestUnreadableFields(t *testing.T) {
+	for _, field := range fields {
+		for _, line := range raw.UnreadableFields(field) {
+			for _, before := range []string{"", "A: b\r\n"} {
+				requireInvalid(t, "HTTP/1.1 200 OK\r\n"+before+line+"\r\n\r\n")
+			}
+			requireInvalid(t, "HTTP/1.1 103 Early\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n\r\n")
+		}
+	}
+	for _, line := range []string{"A", " ", "\t", " A: b", "A: b\r", "A: b\rC: d", "\r", "A : b", ": b"} {
+		requireInvalid(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n")
+		requireInvalid(t, "HTTP/1.1 200 OK\r\nX: y\r\n"+line+"\r\n\r\n")
+	}
+}
+
+// Guards against a body that includes its chunk sizes.
+func TestChunksNeedHTTP11(t *testing.T) {
+	for _, name := range []string{"Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING"} {
+		requireInvalid(t, "HTTP/1.0 200 OK\r\n"+name+": chunked\r\n\r\n")
+		requireValid(t, "HTTP/1.1 200 OK\r\n"+name+": chunked\r\n\r\n")
+	}
+	for _, name := range []string{"Transfer-Encodin", "Transfer-Encodings", "Transfer_Encoding", "X-Transfer-Encoding"} {
+		requireValid(t, "HTTP/1.0 200 OK\r\n"+name+": chunked\r\n\r\n")
+	}
+}
--- a/internal/wire/httpresponse/transport_test.go
+++ b/internal/wire/httpresponse/transport_test.go
@@ -97,3 +97,20 @@
 		}
 	}
 }
+
+// Guards against responses with a body that their server hasn't sent, since a framing field can't be read (issue 49).
+func TestTransportRejectsUnreadableFields(t *testing.T) {
+	for _, keeps := range []bool{false, true} {
+		e := newExchanger(t)
+		e.keeps.Store(keeps)
+		for _, field := range fields {
+			for _, line := range raw.UnreadableFields(field) {
+				got, body, err := e.get("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + line + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+				require.Error(t, err, "%q: status %d, body %q", line, got, body)
+				require.NotErrorIs(t, err, context.DeadlineExceeded, "%q", line)
+			}
+			_, _, err := e.get("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+			require.NoError(t, err)
+		}
+	}
+}
