Stand-in for broken responses: closes connections that are accepted while it closes

TestBrokenStatusShowsNothing ran into go test's timeout once (10 min, one of three runs): a connection that was accepted between the close of the listener and that of the connections was never closed, and Close waits for its handler. A fault of the stand-in; the goroutine dump shows two such waits and nothing of the router's. The responses can also begin with sound fields, such as an ID and a signature.

--- a/internal/router/caller/brokenstatus_test.go
+++ b/internal/router/caller/brokenstatus_test.go
@@ -17,7 +17,7 @@
 // (issue 49).
 func TestBrokenStatusShowsNothing(t *testing.T) {
 	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", earlyServerBorn)
-	broken := append(raw.BrokenResponses(fmt.Sprint(earlyServerBorn)),
+	broken := append(raw.BrokenResponses("A: b\r\n", fmt.Sprint(earlyServerBorn)),
 		strings.Replace(whole, "Length: 1", "Length: 2", 1), strings.Replace(whole, "Length: 1", "Length: x", 1), whole[:len(whole)-1], "")
 	for path := range unframedPaths {
 		t.Run(path[1:], func(t *testing.T) {
--- a/internal/standin/raw/accepted.go
+++ b/internal/standin/raw/accepted.go
@@ -33,7 +33,7 @@
 		data, err := io.ReadAll(r.Body)
 		return string(data), err
 	}
-	for _, response := range BrokenResponses(body) {
+	for _, response := range BrokenResponses("A: b\r\n", body) {
 		if _, err := get(response); err == nil {
 			accepted = append(accepted, response)
 		}
--- a/internal/standin/raw/head.go
+++ b/internal/standin/raw/head.go
@@ -45,18 +45,20 @@
 	return slices.DeleteFunc(lines, validName.MatchString)
 }
 
-// BrokenResponses returns responses with a body whose heads are broken, one of each kind.
-func BrokenResponses(body string) []string {
+// BrokenResponses returns responses with a body whose heads are broken, one of each kind. Each final head begins with
+// the given fields, whole lines that are sound.
+func BrokenResponses(fields, body string) []string {
 	framed := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	var all []string
 	for _, status := range []string{"000", "099", "101", "600", "+20"} {
-		all = append(all, "HTTP/1.1 "+status+" X\r\n"+framed)
+		all = append(all, "HTTP/1.1 "+status+" X\r\n"+fields+framed)
 	}
 	for _, line := range []string{"A B: c", "A : b", "A\t: b", " A: b", "\x00A: b", "A\x7f: b", "\u00e4: b", ": b", "\nA: b", "A\rB: c", "A"} {
-		all = append(all, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+framed, "HTTP/1.1 103 Early\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+framed)
+		all = append(all, "HTTP/1.1 200 OK\r\n"+fields+line+"\r\n"+framed,
+			"HTTP/1.1 103 Early\r\nA: b\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+fields+framed)
 	}
 	for _, line := range []string{"Content-Length : ", "Content Length: ", "\tContent-Length: ", "Content-Length\v: "} {
-		all = append(all, "HTTP/1.1 200 OK\r\nA: b\r\n"+line+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		all = append(all, "HTTP/1.1 200 OK\r\n"+fields+line+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 	}
-	return append(all, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+body)
+	return append(all, "HTTP/1.0 200 OK\r\n"+fields+"Transfer-Encoding: chunked\r\n\r\n"+body)
 }
--- a/internal/standin/raw/server.go
+++ b/internal/standin/raw/server.go
@@ -22,6 +22,7 @@
 	group    errgroup.Group
 	mu       sync.Mutex
 	conns    []net.Conn
+	closed   bool
 }
 
 // NewServer starts a server on a free port.
@@ -42,6 +43,7 @@
 func (s *Server) Close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
+	s.closed = true
 	for _, conn := range s.conns {
 		_ = conn.Close()
 	}
@@ -55,11 +57,22 @@
 		if err != nil {
 			return
 		}
-		s.mu.Lock()
-		s.conns = append(s.conns, conn)
-		s.mu.Unlock()
-		s.group.Go(func() error { s.serve(conn.(*net.TCPConn)); return nil })
+		if s.add(conn) {
+			s.group.Go(func() error { s.serve(conn.(*net.TCPConn)); return nil })
+		}
+	}
+}
+
+// add reports whether the server still takes a connection.
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
 	}
+	s.conns = append(s.conns, conn)
+	return true
 }
 
 func (s *Server) serve(conn *net.TCPConn) {
