--- a/internal/router/caller/earlyanswer_test.go
+++ b/internal/router/caller/earlyanswer_test.go
@@ -30,7 +30,7 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", earlyServerBorn)
 			return true
 		}
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), eventText(1, 2))
+		sendUnframedPart(conn, r)
 		end(conn, r)
 		return false
 	})
@@ -39,6 +39,11 @@
 	return s
 }
 
+// sendUnframedPart sends two events of a response without a length or chunks.
+func sendUnframedPart(conn net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), eventText(1, 2))
+}
+
 // upload sends a request with a body to a router with one server.
 func upload(t *testing.T, path, serverAddr string, size int64) (status int, body string, err error) {
 	router := newTestRouter(t)
@@ -104,6 +109,34 @@
 	}
 }
 
+// The body has ended by a close when the router asks for the status, and the reset follows.
+func TestUnframedResponseThatIsResetBeforeTheStatusIsNotComplete(t *testing.T) {
+	for path := range unframedPaths {
+		t.Run(path[1:], func(t *testing.T) {
+			t.Parallel()
+			asked, reset := make(chan struct{}, 1), make(chan struct{})
+			s, err := raw.NewServer(func(conn *net.TCPConn, r *http.Request) (goesOn bool) {
+				if r.URL.Path == testStatusPath {
+					asked <- struct{}{}
+					<-reset
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", earlyServerBorn)
+					return true
+				}
+				sendUnframedPart(conn, r)
+				_ = conn.CloseWrite()
+				<-asked
+				raw.Reset(conn)
+				close(reset)
+				return false
+			})
+			require.NoError(t, err)
+			defer s.Close()
+			status, _, err := upload(t, path, s.Addr(), longBody)
+			require.False(t, status == http.StatusOK && err == nil, "looks complete")
+		})
+	}
+}
+
 // A server may respond before it has read a long request.
 func TestWholeUnframedResponseDuringUploadIsDelivered(t *testing.T) {
 	ends := map[string]func(conn *net.TCPConn, r *http.Request){
