Soak: servers reset connections during uploads, and sign answers with broken heads

The soak's proxy made a close of such a reset, for the reason that the routers did; it uses tcp.Conn now and resets both sides.

--- a/cmd/bronzerill-soak/callers.go
+++ b/cmd/bronzerill-soak/callers.go
@@ -187,7 +187,11 @@
 
 // newRequest returns a request for a path. The first attempt is the one that it belongs to.
 func (c *callers) newRequest(router int, path, firstAttempt, id string) (*http.Request, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+c.fleet.addr(router, "callers")+path+firstAttempt, strings.NewReader("body of "+firstAttempt))
+	body := "body of " + firstAttempt
+	if c.world.spoils.Load() && cutsOffEarly(id) {
+		body += strings.Repeat("x", earlyBodyBytes)
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.fleet.addr(router, "callers")+path+firstAttempt, strings.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
--- a/cmd/bronzerill-soak/proxy.go
+++ b/cmd/bronzerill-soak/proxy.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bronzerill/internal/wire/tcp"
 )
 
 // proxy forwards TCP connections to a target. It can delay responses, reset
@@ -55,11 +57,13 @@
 
 // relay connects to the target and copies data in both directions.
 func (p *proxy) relay(conn net.Conn) {
-	upstream, err := net.Dial("tcp", p.target)
+	dialed, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
+	// A reset must not become a close on its way to the router.
+	upstream := net.Conn(tcp.NewConn(dialed))
 	p.mu.Lock()
 	p.conns[conn], p.conns[upstream] = true, true
 	p.mu.Unlock()
@@ -93,6 +97,7 @@
 		if err != nil {
 			if !errors.Is(err, io.EOF) {
 				p.reset(to)
+				p.reset(from)
 			}
 			_ = to.Close()
 			_ = from.Close()
@@ -103,10 +108,10 @@
 
 // reset prepares a connection so that its Close sends a TCP reset.
 func (p *proxy) reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		// With a linger time of 0, Close sends a reset. SetLinger fails if the connection is
 		// already closed, which is not an error here.
-		_ = tcp.SetLinger(0)
+		_ = lingerer.SetLinger(0)
 	}
 }
 
--- a/cmd/bronzerill-soak/spoil.go
+++ b/cmd/bronzerill-soak/spoil.go
@@ -11,6 +11,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"bronzerill/internal/standin/raw"
+	"bronzerill/internal/wire/tcp"
 	"bronzerill/platform/standin"
 )
 
@@ -25,6 +27,10 @@
 	// router keeps reading.
 	fillerBytes = 64 << 10
 	maxFiller   = 64 << 20
+	// earlyShare is one in how many requests has a long body, before whose end its server begins to answer and resets
+	// the connection.
+	earlyShare     = 12
+	earlyBodyBytes = 4 << 20
 )
 
 // spoiled is an answer that is none.
@@ -32,6 +38,8 @@
 	head string
 	// endless is set if bytes follow until the router closes the connection.
 	endless bool
+	// broken is which of raw.BrokenResponses is sent in place of the head, with the server's signature, -1 for none.
+	broken int
 }
 
 // spoiledHeads are the heads of spoiled answers. The first line and some fields precede some of them.
@@ -50,11 +58,15 @@
 		return nil
 	}
 	hash /= spoiledShare
+	if kinds := len(raw.BrokenResponses("", "")); hash%2 == 0 {
+		return &spoiled{broken: int(hash/2) % kinds}
+	}
+	hash /= 2
 	status := spoiledStatuses[0]
 	if hash%4 == 0 {
 		status = spoiledStatuses[int(hash/4)%len(spoiledStatuses)]
 	}
-	s := &spoiled{endless: hash%2 == 0, head: spoiledHeads[int(hash/32)%len(spoiledHeads)]}
+	s := &spoiled{broken: -1, endless: hash%2 == 0, head: spoiledHeads[int(hash/32)%len(spoiledHeads)]}
 	if hash%16 > 0 {
 		// Without a signature, none of them is an answer of the server, whatever follows.
 		s.head = "HTTP/1.1 " + status + " X\r\n" + standin.IDField(id) + s.head
@@ -69,13 +81,39 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	_, err = io.WriteString(conn, s.head)
+	head := s.head
+	if s.broken >= 0 {
+		head = raw.BrokenResponses(fieldLines(rw.Header()), "spoiled")[s.broken]
+	}
+	_, err = io.WriteString(conn, head)
 	filler := strings.Repeat("x", fillerBytes)
 	for sent := 0; s.endless && err == nil && sent < maxFiller; sent += fillerBytes {
 		_, err = io.WriteString(conn, filler)
 	}
 }
 
+// fieldLines returns the lines of a header.
+func fieldLines(h http.Header) string {
+	var lines strings.Builder
+	// Writing to memory can't fail.
+	_ = h.Write(&lines)
+	return lines.String()
+}
+
+// cutsOffEarly reports whether the server of a request begins to answer before it has read the body, and resets
+// the connection.
+func cutsOffEarly(id string) bool { return hashOf("early "+id)%earlyShare == 0 }
+
+// cutOffEarly sends part of a signed response without a length or chunks and resets the connection.
+func cutOffEarly(rw http.ResponseWriter, part string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fieldLines(rw.Header())+"\r\n"+part)
+	_ = tcp.Reset(conn)
+}
+
 // spoilAnswers lets servers spoil some of their answers, some of them without end, while callers send many requests
 // at once. No router may end, or exceed its memory.
 func spoilAnswers(f *fleet, w *world, c *callers, random *rand.Rand) {
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -225,6 +225,13 @@
 // serve handles a request that a server received, and checks that it was meant for this
 // server.
 func (w *world) serve(b *backend, p *process, rw http.ResponseWriter, r *http.Request) {
+	id, expected, lastEvent := standin.ReadRequestHeaders(r)
+	if w.spoils.Load() && r.ContentLength >= earlyBodyBytes && expected == p.id && cutsOffEarly(id) {
+		w.countRun(id)
+		standin.Sign(rw, id, signature(id, ""))
+		cutOffEarly(rw, firstPart(r.URL.Path, lastEvent+1, b.currentVersion()))
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -235,7 +242,6 @@
 		_, _ = io.WriteString(rw, standin.EmptyCacheList)
 		return
 	}
-	id, expected, lastEvent := standin.ReadRequestHeaders(r)
 	if expected != p.id && strings.HasPrefix(expected, b.id) {
 		standin.RefuseMisdirected(rw, id)
 		return
@@ -262,9 +268,7 @@
 		other.refuse(rw, id)
 		return
 	}
-	w.mu.Lock()
-	w.runs[id]++
-	w.mu.Unlock()
+	w.countRun(id)
 	defer w.arrive(b, now).Add(-1)
 	b.receiveLimited(w, rw, now)
 	standin.Sign(rw, id, signature(id, ""))
@@ -311,6 +315,20 @@
 	response.end()
 }
 
+func (w *world) countRun(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[id]++
+}
+
+// firstPart returns the first part of the response to a request that resumes a stream at an event, or has none.
+func firstPart(requestPath string, event int, version string) string {
+	if isStreamPath(path.Dir(requestPath) + "/") {
+		return eventText(event, path.Base(requestPath), version)
+	}
+	return "booked "
+}
+
 // stop stops the servers and the server list.
 func (w *world) stop() {
 	for _, b := range w.backends {
