--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -49,7 +49,18 @@
 mutant "review: a transfer of the leadership has no end" $R/election.go 's/if c\.transferTo != "" \&\& !now\.Before\(c\.transferUntil\) \{/if false {/' $R TestLeaderThatHandsOver
 mutant "review: a learner gets the whole log" $R/step.go 's/^\tif c\.members\.IsVoter\(to\) \|\| p\.next > c\.log\.last\(\) \{/\tif true {/' $R TestNewReplicaCatchesUp
 mutant "review: a stated length sizes a buffer" internal/router/caller/servercall.go 's/if response\.Length >= 0 \&\& response\.Length < partSize \{/if response.Length >= 0 {/; s/^\tdefer c\.containPanic\(\)//' internal/router/caller TestImpossible
-mutant "review: invalid statuses are passed on" internal/router/server/limit.go 's/ \&\& status != http\.StatusSwitchingProtocols$/ || http.StatusOK > 0/' internal/router/caller TestImpossible
+mutant "review: invalid statuses are passed on" internal/wire/httpresponse/head.go 's/if !isInterim\(c\.status\) \&\& !IsFinal\(c\.status\) \{/if c.status < 0 {/' internal/router/caller TestImpossible
+mutant "broken: a reset ends the data" internal/wire/tcp/conn.go 's/io\.EOF\) \&\& c\.IsReset\(\)/io.EOF) \&\& n < 0/' internal/wire/tcp TestReset
+mutant "broken: the state of a connection isn't asked for" internal/wire/tcp/conn.go 's/info\.State == stateClosed/info.State > 99/' internal/wire/tcp TestResetIsNoEnd
+mutant "broken: only a close before the status call counts" internal/router/caller/unframed.go 's/ \&\& !response\.IsReset\(\)//' internal/router/caller TestUnframedResponseThatIsResetBeforeTheStatus
+mutant "broken: agents take a reset for an end" internal/wire/httpresponse/transport.go 's/c\.Conn\.Read\(p\)/c.Conn.Conn.Read(p)/' internal/agent/engine TestUnframedResponseThatIsReset
+mutant "broken: a list that may be cut off is whole" platform/list.go 's/p\.openEnd \&\& //' platform 'TestUnframedList|TestServers'
+mutant "broken: agents pass any status on" internal/wire/httpresponse/head.go 's/if !isInterim\(c\.status\) \&\& !IsFinal\(c\.status\) \{/if c.status < 0 {/' internal/agent/engine TestResponseWithInvalidStatus
+mutant "broken: heads of agents may have any status" internal/wire/exchange/message.go 's/if !httpresponse\.IsFinal\(f\.Head\.Status\) \{/if httpresponse.IsFinal(-f.Head.Status) {/' internal/wire/exchange TestChecker
+mutant "broken: any byte is part of a name" internal/wire/httpresponse/head.go 's/case !isNameByte\(b\):/case b == 0:/' internal/router/server TestResponseWithUnreadableField
+mutant "broken: lines may end differently" internal/wire/httpresponse/head.go 's/if c\.afterCR != c\.endsWithCR \{/if c.lines < 0 {/' internal/wire/httpresponse TestUnreadableFields
+mutant "broken: a head that follows a skipped answer isn't checked from its start" internal/router/server/limit.go 's/r\.head\.Check\(alreadyRead\)/r.head.Check(nil)/' internal/router/server TestResponseWith
+mutant "broken: an error in a head is forgotten" internal/wire/httpresponse/transport.go 's/if err := c\.headErr\(\); err != nil \{/if err := c.headErr(); err == nil \&\& c == nil {/' internal/wire/httpresponse TestTransportRejects
 mutant "review: bodies aren't bounded together" internal/router/memory/budget.go 's/more > 0 \&\& used > s\.budget\.limit\(size\)/used < 0/' internal/router/memory TestBodyThatDoesNotFit
 mutant "review: a seed that is restarted knows no founders" internal/run/router/founding.go 's/^\tif len\(founders\.List\) > 0 \{/\tif false {/' internal/run/router 'TestAnswerOfASeed|TestSeedIs'
 mutant "claims with an unknown outcome may run again" $S/ledger.go 's/record\.State = ClaimUnknown/record.State = ClaimReleased/' $A/service 'TestAtMostOnce|TestFaultAtEachStep'
