Unframed responses: a reset that follows a close within 10 ms counts

What callers could see: as in, if the server closes the connection while the upload still arrives. The kernel sends a close first if nothing unread is there at that moment, and resets the connection with the next bytes.

Cause: routers looked again after the status call, which may take less than the reset; agents didn't, since net/http closes the connection at the end of the data.

Change: while the request is still being written, the end of the data is awaited until all is written, for 10 ms at most. A server that half-closes and reads on, or lingers, is delivered as before.

Ruled out: to await the end of the write without a limit. A server that lingers before it closes, as net/http does, resets the connection in the end, too, though its answer is whole.

The test with a close and an immediate reset is gone: its order depends on the scheduler. In its place TestUnframedResponseThatIsResetBeforeTheStatusIsNotComplete fixes the order of all four steps, and TestResetAfterACloseIsAwaited and TestTransportAwaitsAResetAfterAClose that of the wait. The test of servers that linger no longer depends on 500 ms.

--- a/internal/agent/engine/earlyanswer_test.go
+++ b/internal/agent/engine/earlyanswer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"bronzerill"
@@ -76,7 +77,17 @@
 }
 
 func TestWholeUnframedResponseDuringUploadIsDelivered(t *testing.T) {
-	body, err := uploadTo(t, func(_ *net.TCPConn, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
-	require.NoError(t, err)
-	require.Equal(t, "{}", body)
+	delivered := make(chan struct{})
+	for name, end := range map[string]func(conn *net.TCPConn, r *http.Request){
+		"reads on": func(_ *net.TCPConn, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) },
+		"lingers without reading": func(conn *net.TCPConn, _ *http.Request) {
+			_ = conn.CloseWrite()
+			<-delivered
+		},
+	} {
+		body, err := uploadTo(t, end)
+		assert.NoError(t, err, name)
+		assert.Equal(t, "{}", body, name)
+	}
+	close(delivered)
 }
--- a/internal/router/caller/earlyanswer_test.go
+++ b/internal/router/caller/earlyanswer_test.go
@@ -96,20 +96,8 @@
 	}
 }
 
-// A close of a connection on which bytes still arrive is followed by a reset.
-func TestUnframedResponseThatIsClosedAndResetDuringUploadIsNotComplete(t *testing.T) {
-	for path := range unframedPaths {
-		t.Run(path[1:], func(t *testing.T) {
-			t.Parallel()
-			requireNotComplete(t, path, func(conn *net.TCPConn, _ *http.Request) {
-				_ = conn.CloseWrite()
-				raw.Reset(conn)
-			})
-		})
-	}
-}
-
-// The body has ended by a close when the router asks for the status, and the reset follows.
+// A close of a connection on which bytes still arrive is followed by a reset. Here the router takes notice of both, one
+// after the other.
 func TestUnframedResponseThatIsResetBeforeTheStatusIsNotComplete(t *testing.T) {
 	for path := range unframedPaths {
 		t.Run(path[1:], func(t *testing.T) {
@@ -139,22 +127,25 @@
 
 // A server may respond before it has read a long request.
 func TestWholeUnframedResponseDuringUploadIsDelivered(t *testing.T) {
-	ends := map[string]func(conn *net.TCPConn, r *http.Request){
-		"half-closes and reads on": func(conn *net.TCPConn, r *http.Request) {
+	ends := map[string]func(conn *net.TCPConn, r *http.Request, delivered <-chan struct{}){
+		"half-closes and reads on": func(conn *net.TCPConn, r *http.Request, _ <-chan struct{}) {
 			_ = conn.CloseWrite()
 			_, _ = io.Copy(io.Discard, r.Body)
 		},
-		"reads on, then closes": func(_ *net.TCPConn, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) },
-		"lingers without reading": func(conn *net.TCPConn, _ *http.Request) {
+		"reads on, then closes": func(_ *net.TCPConn, r *http.Request, _ <-chan struct{}) { _, _ = io.Copy(io.Discard, r.Body) },
+		"lingers without reading": func(conn *net.TCPConn, _ *http.Request, delivered <-chan struct{}) {
 			_ = conn.CloseWrite()
-			time.Sleep(500 * time.Millisecond)
+			<-delivered
 		},
 	}
 	for path := range unframedPaths {
 		for name, end := range ends {
 			t.Run(path[1:]+", "+name, func(t *testing.T) {
 				t.Parallel()
-				status, body, err := upload(t, path, startEarlyServer(t, end).Addr(), longBody)
+				delivered := make(chan struct{})
+				s := startEarlyServer(t, func(conn *net.TCPConn, r *http.Request) { end(conn, r, delivered) })
+				status, body, err := upload(t, path, s.Addr(), longBody)
+				close(delivered)
 				require.NoError(t, err)
 				require.Equal(t, http.StatusOK, status)
 				require.Equal(t, eventText(1, 2), body)
--- a/internal/router/caller/unframed.go
+++ b/internal/router/caller/unframed.go
@@ -24,8 +24,8 @@
 
 // checkUnframed returns nil if a response without a length or chunks is known to be whole, and errCutOff
 // otherwise. Its body ends in the same way if the server's process ends, so the process must have
-// outlived it. A server that closes the connection while the request is still being written resets it
-// with the next bytes that arrive there, a moment after the body has ended.
+// outlived it. The connection may still be reset if the server has closed it while the request is being
+// written.
 func (c *serverCall) checkUnframed(response *server.Response) error {
 	endedAt := c.cfg.Clock()
 	whole := c.hasOutlived(response.Witness) && !response.IsReset()
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -15,6 +15,7 @@
 	"bronzerill"
 	"bronzerill/internal/router/memory"
 	"bronzerill/internal/wire/httpheader"
+	"bronzerill/internal/wire/tcp"
 )
 
 // Call is one request to one server.
@@ -87,11 +88,12 @@
 	// opened. It is valid until the body is closed.
 	Witness *Witness
 	conn    *clientConn
+	write   *requestWrite
 }
 
 // IsReset reports whether the server has reset the connection, also after the body has ended. It is valid until
 // the body is closed.
-func (r *Response) IsReset() bool { return r.conn.IsReset() }
+func (r *Response) IsReset() bool { return r.conn.IsResetAfter(r.write.done, tcp.CloseGrace) }
 
 // errConnClosed means that a connection was closed before a call was sent on it.
 var errConnClosed = errors.New("connection closed while it was idle")
@@ -186,7 +188,7 @@
 	body.reusable = body.reusable && framed
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: body,
-		Length: response.ContentLength, Framed: framed, Witness: witness, conn: conn,
+		Length: response.ContentLength, Framed: framed, Witness: witness, conn: conn, write: write,
 	}, nil
 }
 
--- a/internal/wire/httpresponse/transport.go
+++ b/internal/wire/httpresponse/transport.go
@@ -3,10 +3,15 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"bronzerill/internal/wire/tcp"
 )
@@ -15,6 +20,8 @@
 // their connection was reset. Heads in TLS aren't checked.
 type Transport struct {
 	*http.Transport
+	// closeGrace is how long a connection that was closed while its request was being written may take to be reset.
+	closeGrace time.Duration
 }
 
 // NewTransport returns a transport with the settings of base, which it changes. It opens connections
@@ -24,14 +31,15 @@
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
+	t := &Transport{Transport: base, closeGrace: tcp.CloseGrace}
 	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: tcp.NewConn(c)}, nil
+		return &conn{Conn: tcp.NewConn(c), closeGrace: t.closeGrace}, nil
 	}
-	return &Transport{base}
+	return t
 }
 
 // NewDefaultTransport returns a transport with the settings of http.DefaultTransport.
@@ -41,27 +49,50 @@
 
 // RoundTrip sends a request and returns its response.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			c.beginHead()
-		}
-	}}
+	// A request that wasn't sent on one connection is sent on another one.
+	var sentTo atomic.Pointer[conn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				c.beginExchange()
+				sentTo.Store(c)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if c := sentTo.Load(); c != nil {
+				c.endRequest()
+			}
+		},
+	}
 	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 }
 
 // conn checks the head of the response to each request.
 type conn struct {
 	*tcp.Conn
-	mu sync.Mutex
-	// head is guarded by mu.
-	head HeadChecker
+	closeGrace time.Duration
+	mu         sync.Mutex
+	// head and written are guarded by mu. written is closed once the request has been written, or can't be.
+	head    HeadChecker
+	written chan struct{}
 }
 
-// beginHead is called before a request is sent. A read may be waiting for its response already.
-func (c *conn) beginHead() {
+// beginExchange is called before a request is sent. A read may be waiting for its response already.
+func (c *conn) beginExchange() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.Begin()
+	c.written = make(chan struct{})
+}
+
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.written:
+	default:
+		close(c.written)
+	}
 }
 
 // Read reads up to the first invalid byte of a head.
@@ -71,9 +102,14 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if valid, headErr := c.head.Check(p[:n]); headErr != nil {
+	valid, headErr := c.head.Check(p[:n])
+	written := c.written
+	c.mu.Unlock()
+	switch {
+	case headErr != nil:
 		return valid, headErr
+	case errors.Is(err, io.EOF) && written != nil && c.IsResetAfter(written, c.closeGrace):
+		return n, tcp.ErrReset
 	}
 	return n, err
 }
--- a/internal/wire/httpresponse/transport_test.go
+++ b/internal/wire/httpresponse/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -114,3 +115,24 @@
 		}
 	}
 }
+
+// A server that closes a connection on which bytes still arrive resets it a moment later.
+func TestTransportAwaitsAResetAfterAClose(t *testing.T) {
+	s, err := raw.NewServer(func(conn *net.TCPConn, _ *http.Request) (goesOn bool) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = conn.CloseWrite()
+		time.Sleep(50 * time.Millisecond)
+		raw.Reset(conn)
+		return false
+	})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	transport := NewTransport(&http.Transport{})
+	transport.closeGrace = time.Minute
+	response, err := (&http.Client{Transport: transport}).Post("http://"+s.Addr(), "text/plain", strings.NewReader(strings.Repeat("x", 4<<20)))
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+		require.NoError(t, response.Body.Close())
+	}
+	require.Error(t, err)
+}
--- a/internal/wire/tcp/conn.go
+++ b/internal/wire/tcp/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -14,8 +15,12 @@
 // properly, the state is another one until this side closes it, too.
 const stateClosed = unix.BPF_TCP_CLOSE
 
-// errReset means that the data of a connection ended without the peer having closed it.
-var errReset = errors.WithMessage(syscall.ECONNRESET, "connection ended by a reset")
+// ErrReset means that the data of a connection ended without the peer having closed it.
+var ErrReset = errors.WithMessage(syscall.ECONNRESET, "connection ended by a reset")
+
+// CloseGrace is how long a connection whose peer has closed it may take to be reset. It is longer than a round trip
+// between data centres.
+const CloseGrace = 10 * time.Millisecond
 
 // Conn is a connection whose data ends with io.EOF only if the peer has closed it. The kernel reports the error of
 // a connection once, to whichever call comes first. If that is a write, a read afterwards returns io.EOF.
@@ -32,7 +37,7 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) && c.IsReset() {
-		return n, errReset
+		return n, ErrReset
 	}
 	return n, err
 }
@@ -62,6 +67,22 @@
 	return c.writeFailed.Load() || optionErr == nil && info.State == stateClosed
 }
 
+// IsResetAfter is IsReset for a connection whose data has ended while something may still be written to it. A peer that
+// closes it rather than read on resets it with the next bytes that arrive. So this waits until all is written, but no
+// longer than a grace, mostly CloseGrace.
+func (c *Conn) IsResetAfter(written <-chan struct{}, grace time.Duration) bool {
+	if c.IsReset() {
+		return true
+	}
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+	}
+	return c.IsReset()
+}
+
 // SyscallConn returns the underlying connection.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if conn, ok := c.Conn.(syscall.Conn); ok {
--- a/internal/wire/tcp/conn_test.go
+++ b/internal/wire/tcp/conn_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 )
 
 // connPair returns both ends of a connection.
@@ -71,6 +72,35 @@
 	}
 }
 
+// A peer that has closed the connection resets it with the next bytes that arrive.
+func TestResetAfterACloseIsAwaited(t *testing.T) {
+	conn, peer := connPair(t)
+	require.NoError(t, peer.CloseWrite())
+	_, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	var group errgroup.Group
+	written := make(chan struct{})
+	group.Go(func() error {
+		defer close(written)
+		time.Sleep(20 * time.Millisecond)
+		err := Reset(peer)
+		for failed := error(nil); failed == nil; {
+			_, failed = conn.Write([]byte("x"))
+		}
+		return err
+	})
+	require.True(t, conn.IsResetAfter(written, time.Minute))
+	require.NoError(t, group.Wait())
+}
+
+func TestCloseIsNotAwaitedForLong(t *testing.T) {
+	conn, peer := connPair(t)
+	require.NoError(t, peer.CloseWrite())
+	_, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.False(t, conn.IsResetAfter(nil, time.Millisecond))
+}
+
 func TestResetOfAConnDiscardsUndeliveredBytes(t *testing.T) {
 	const sent = 64 << 10
 	conn, peer := connPair(t)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -53,7 +53,8 @@
 mutant "broken: a reset ends the data" internal/wire/tcp/conn.go 's/io\.EOF\) \&\& c\.IsReset\(\)/io.EOF) \&\& n < 0/' internal/wire/tcp TestReset
 mutant "broken: the state of a connection isn't asked for" internal/wire/tcp/conn.go 's/info\.State == stateClosed/info.State > 99/' internal/wire/tcp TestResetIsNoEnd
 mutant "broken: only a close before the status call counts" internal/router/caller/unframed.go 's/ \&\& !response\.IsReset\(\)//' internal/router/caller TestUnframedResponseThatIsResetBeforeTheStatus
-mutant "broken: agents take a reset for an end" internal/wire/httpresponse/transport.go 's/c\.Conn\.Read\(p\)/c.Conn.Conn.Read(p)/' internal/agent/engine TestUnframedResponseThatIsReset
+mutant "broken: agents take a reset for an end" internal/wire/httpresponse/transport.go 's/c\.Conn\.Read\(p\)/c.Conn.Conn.Read(p)/; s/written != nil \&\& c\.IsReset/written == nil \&\& c.IsReset/' internal/agent/engine TestUnframedResponseThatIsReset
+mutant "broken: agents await no reset after a close" internal/wire/httpresponse/transport.go 's/written != nil \&\& c\.IsReset/written == nil \&\& c.IsReset/' internal/wire/httpresponse TestTransportAwaits
 mutant "broken: a list that may be cut off is whole" platform/list.go 's/p\.openEnd \&\& //' platform 'TestUnframedList|TestServers'
 mutant "broken: agents pass any status on" internal/wire/httpresponse/head.go 's/if !isInterim\(c\.status\) \&\& !IsFinal\(c\.status\) \{/if c.status < 0 {/' internal/agent/engine TestResponseWithInvalidStatus
 mutant "broken: heads of agents may have any status" internal/wire/exchange/message.go 's/if !httpresponse\.IsFinal\(f\.Head\.Status\) \{/if httpresponse.IsFinal(-f.Head.Status) {/' internal/wire/exchange TestChecker
