--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -14,10 +14,10 @@
 	"bronzerill/internal/operator/journal"
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/router/declared"
-	"bronzerill/internal/router/memory"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
 	"bronzerill/internal/wire/httpabort"
+	"bronzerill/internal/wire/memory"
 )
 
 // maxBody is the maximum size of a request or response body, in bytes.
--- a/internal/router/caller/memory_test.go
+++ b/internal/router/caller/memory_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"bronzerill/internal/router/memory"
+	"bronzerill/internal/wire/memory"
 )
 
 // Guards against a request that is read although there is no memory for it (issue 46): it is refused before its body
--- a/internal/router/caller/servercall.go
+++ b/internal/router/caller/servercall.go
@@ -14,9 +14,9 @@
 	"bronzerill"
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/router/declared"
-	"bronzerill/internal/router/memory"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
+	"bronzerill/internal/wire/memory"
 )
 
 // partSize is the maximum size of the data in one part, in bytes.
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"bronzerill"
-	"bronzerill/internal/router/memory"
 	"bronzerill/internal/wire/httpheader"
+	"bronzerill/internal/wire/memory"
 	"bronzerill/internal/wire/tcp"
 )
 
--- a/internal/router/server/endless_test.go
+++ b/internal/router/server/endless_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"bronzerill/internal/router/memory"
+	"bronzerill/internal/wire/memory"
 )
 
 // maxEndlessBytes is far above what a client may read of a response without an end, and above
--- a/internal/router/server/limit.go
+++ b/internal/router/server/limit.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	"bronzerill/internal/router/memory"
 	"bronzerill/internal/wire/httpresponse"
+	"bronzerill/internal/wire/memory"
 )
 
 // Limits of what a server may send besides the body of the response. A faulty server can
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -22,7 +22,7 @@
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
-	"bronzerill/internal/wire/httpdrain"
+	"bronzerill/internal/wire/httpport"
 )
 
 // Timing of the role.
@@ -50,7 +50,7 @@
 	settings file.Agent
 	renewer  *wire.LeaseRenewer
 	server   *entry.Server
-	port     *httpdrain.Port
+	port     *httpport.Port
 	group    *errgroup.Group
 	clock    func() time.Time
 	// process is the ID of this process. It is the same in all attempts to register.
@@ -72,7 +72,7 @@
 // Start listens on the entries' port and registers the process in the background.
 func Start(ctx context.Context, group *errgroup.Group, cfg Config) (*Role, error) {
 	settings := *cfg.Settings.Agent
-	port, err := httpdrain.Listen(settings.Listen)
+	port, err := httpport.Listen(settings.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "agent.listen")
 	}
@@ -172,7 +172,7 @@
 }
 
 func (r *Role) serve(ctx context.Context) {
-	handler := httpdrain.CloseWhen(r.draining.Load, r.server.Handler())
+	handler := httpport.CloseWhen(r.draining.Load, r.server.Handler())
 	httpServer := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	r.group.Go(func() error { return errors.Wrap(r.port.Serve(httpServer), "serve entries' port") })
 	r.group.Go(func() error {
--- a/internal/run/entry/role.go
+++ b/internal/run/entry/role.go
@@ -19,7 +19,7 @@
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/httpabort"
-	"bronzerill/internal/wire/httpdrain"
+	"bronzerill/internal/wire/httpport"
 )
 
 // Limits of the callers' port and timing of the role.
@@ -42,13 +42,13 @@
 type Role struct {
 	settings file.Entry
 	renewer  *wire.LeaseRenewer
-	port     *httpdrain.Port
+	port     *httpport.Port
 	draining atomic.Bool
 }
 
 // Start listens on the callers' port and begins to renew the lease.
 func Start(ctx context.Context, group *errgroup.Group, cfg Config) (*Role, error) {
-	port, err := httpdrain.Listen(cfg.Settings.Entry.Listen)
+	port, err := httpport.Listen(cfg.Settings.Entry.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "entry.listen")
 	}
@@ -83,7 +83,7 @@
 	})
 	r := &Role{settings: *cfg.Settings.Entry, renewer: renewer, port: port}
 	httpServer := &http.Server{
-		Handler:           httpdrain.CloseWhen(r.draining.Load, callerServer.Handler()),
+		Handler:           httpport.CloseWhen(r.draining.Load, callerServer.Handler()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/run/process/process.go
+++ b/internal/run/process/process.go
@@ -21,7 +21,7 @@
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
-	"bronzerill/internal/wire/httpdrain"
+	"bronzerill/internal/wire/httpport"
 	"bronzerill/internal/wire/netrpc"
 )
 
@@ -87,7 +87,7 @@
 	group    *errgroup.Group
 	operator *server.Server
 	// operatorPort is nil without an operator port.
-	operatorPort *httpdrain.Port
+	operatorPort *httpport.Port
 	// roles are in the order in which they are drained.
 	roles []Role
 }
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	port, err := httpdrain.Listen(p.settings.Operator.Listen)
+	port, err := httpport.Listen(p.settings.Operator.Listen)
 	if err != nil {
 		return errors.Wrap(err, "operator.listen")
 	}
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -20,13 +20,13 @@
 
 	"bronzerill/internal/operator/journal"
 	"bronzerill/internal/router/caller"
-	"bronzerill/internal/router/memory"
 	"bronzerill/internal/router/peer"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
-	"bronzerill/internal/wire/httpdrain"
+	"bronzerill/internal/wire/httpport"
+	"bronzerill/internal/wire/memory"
 	"bronzerill/internal/wire/netrpc"
 	"bronzerill/platform"
 )
@@ -70,7 +70,7 @@
 	streams   *streamRegistry
 	versions  *versionHistory
 	// ports holds the open ports by the keys of their settings.
-	ports    map[string]*httpdrain.Port
+	ports    map[string]*httpport.Port
 	stopping atomic.Bool
 	// loggedLeader is the leader that was logged last.
 	loggedLeader string
@@ -132,7 +132,7 @@
 	self := peer.Peer{Name: s.Name, Addr: s.Router.AdvertisedAddr(), Zone: s.Zone, Started: now.UnixNano()}
 	r := &Router{
 		settings: s, settingsPath: settingsPath, adapter: adapter, log: log,
-		ports:   make(map[string]*httpdrain.Port),
+		ports:   make(map[string]*httpport.Port),
 		peers:   peer.NewTable(self, seeds, seed),
 		clients: peer.NewClients(secret),
 		servers: placement.NewTable(placement.Config{Name: s.Name, Zone: s.Zone, Seed: seed}),
--- a/internal/run/router/web.go
+++ b/internal/run/router/web.go
@@ -12,9 +12,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"bronzerill/internal/router/caller"
-	"bronzerill/internal/router/memory"
 	"bronzerill/internal/wire/httpabort"
-	"bronzerill/internal/wire/httpdrain"
+	"bronzerill/internal/wire/httpport"
+	"bronzerill/internal/wire/memory"
 )
 
 // Limits of the HTTP ports.
@@ -79,12 +79,12 @@
 }
 
 func (r *Router) serve(ctx context.Context, tasks *errgroup.Group, key, addr string, handler http.Handler) error {
-	port, err := httpdrain.Listen(addr)
+	port, err := httpport.Listen(addr)
 	if err != nil {
 		return errors.Wrap(err, key)
 	}
 	web := &http.Server{
-		Handler:           httpdrain.CloseWhen(r.stopping.Load, handler),
+		Handler:           httpport.CloseWhen(r.stopping.Load, handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
--- a/internal/wire/httpdrain/pipelined_test.go
+++ b/internal/wire/httpport/pipelined_test.go
@@ -1,4 +1,4 @@
-package httpdrain
+package httpport
 
 import (
 	"bufio"
--- a/internal/wire/httpdrain/httpdrain.go
+++ b/internal/wire/httpport/port.go
@@ -1,5 +1,5 @@
-// Package httpdrain stops HTTP servers without leaving a request unanswered that was read.
-package httpdrain
+// Package httpport stops HTTP servers without leaving a request unanswered that was read.
+package httpport
 
 import (
 	"context"
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,7 +62,7 @@
 mutant "broken: lines may end differently" internal/wire/httpresponse/head.go 's/if c\.afterCR != c\.endsWithCR \{/if c.lines < 0 {/' internal/wire/httpresponse TestUnreadableFields
 mutant "broken: a head that follows a skipped answer isn't checked from its start" internal/router/server/limit.go 's/r\.head\.Check\(alreadyRead\)/r.head.Check(nil)/' internal/router/server TestResponseWith
 mutant "broken: an error in a head is forgotten" internal/wire/httpresponse/transport.go 's/if err := c\.headErr\(\); err != nil \{/if err := c.headErr(); err == nil \&\& c == nil {/' internal/wire/httpresponse TestTransportRejects
-mutant "review: bodies aren't bounded together" internal/router/memory/budget.go 's/more > 0 \&\& used > s\.budget\.limit\(size\)/used < 0/' internal/router/memory TestBodyThatDoesNotFit
+mutant "review: bodies aren't bounded together" internal/wire/memory/budget.go 's/more > 0 \&\& used > s\.budget\.limit\(size\)/used < 0/' internal/wire/memory TestBodyThatDoesNotFit
 mutant "review: a seed that is restarted knows no founders" internal/run/router/founding.go 's/^\tif len\(founders\.List\) > 0 \{/\tif false {/' internal/run/router 'TestAnswerOfASeed|TestSeedIs'
 mutant "claims with an unknown outcome may run again" $S/ledger.go 's/record\.State = ClaimUnknown/record.State = ClaimReleased/' $A/service 'TestAtMostOnce|TestFaultAtEachStep'
 mutant "claims of a lost process are released" $S/ledger.go 's/r\.State = ClaimUnknown/r.State = ClaimReleased/' $A/service 'TestAtMostOnce|TestFaultAtEachStep'
