--- /dev/null
+++ b/cmd/bronzerill/crowd_test.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"bronzerill/platform/standin"
+)
+
+// Limits of the routers that crowds call.
+const (
+	// crowdMemoryMB is the memory of the router.
+	crowdMemoryMB = 96
+	// crowdDescriptors is how many descriptors the router may have open.
+	crowdDescriptors = 512
+	// maxOpenDescriptors leaves a quarter of them for calls to servers, peers and files.
+	maxOpenDescriptors = crowdDescriptors * 3 / 4
+	// legalBody is the largest body that callers may send.
+	legalBody = 4 << 20
+	// ordinaryBody is the body of an ordinary request. It is larger than what all connections may take for
+	// themselves.
+	ordinaryBody = 256 << 10
+	// bodyClients is how many clients send large bodies, or receive them.
+	bodyClients = 150
+	// halvings is how many sizes of bodies a crowd sends.
+	halvings = 9
+	// crowdPause is how long a client waits before it connects again.
+	crowdPause = 50 * time.Millisecond
+	// crowdTime is how long a crowd lasts before ordinary requests are sent beside it.
+	crowdTime = 2 * time.Second
+	// patience is how long a client waits for something that has to come at some time.
+	patience = 20 * time.Second
+)
+
+// behavior is what a client of a crowd does on one connection. It returns once the connection is of no use any more.
+type behavior func(conn net.Conn, client int, id string) error
+
+// crowd is a number of clients that misbehave. Each connects again when its connection is closed.
+type crowd struct {
+	stop  context.CancelFunc
+	group errgroup.Group
+	// connects counts the connections.
+	connects atomic.Int64
+}
+
+// startCrowd starts clients at an address.
+func startCrowd(t *testing.T, addr string, clients int, behave behavior) *crowd {
+	ctx, stop := context.WithCancel(t.Context())
+	c := &crowd{stop: stop}
+	for i := range clients {
+		c.group.Go(func() error {
+			for n := 0; ctx.Err() == nil; n++ {
+				c.connect(ctx, addr, func(conn net.Conn) error { return behave(conn, i, fmt.Sprintf("crowd-%d-%d", i, n)) })
+				select {
+				case <-ctx.Done():
+				case <-time.After(crowdPause):
+				}
+			}
+			return nil
+		})
+	}
+	t.Cleanup(c.end)
+	return c
+}
+
+func (c *crowd) connect(ctx context.Context, addr string, use func(conn net.Conn) error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return
+	}
+	c.connects.Add(1)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	// It ends with an error whenever the router or the end of the crowd closes the connection.
+	_ = use(conn)
+}
+
+// end closes all connections.
+func (c *crowd) end() {
+	c.stop()
+	_ = c.group.Wait() // its functions never fail
+}
+
+// hold reads the response, if one comes, and keeps the connection open until the router closes it.
+func hold(conn net.Conn) error {
+	_, err := io.Copy(io.Discard, conn)
+	return err
+}
+
+// requestHead returns the head of a request, without the empty line that ends it.
+func requestHead(path, id, fields string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + standin.IDField(id) + fields
+}
+
+// sendBody sends the start of a request with a body, in pieces of a size, and holds the connection. The first clients
+// send the whole of the bytes, the next ones half of them, and so on, so that they take all the memory that they can.
+// In the fields, LENGTH stands for a length that isn't reached, and ID for the ID of the request.
+func sendBody(path, fields string, body []byte, pieceBytes int) behavior {
+	return func(conn net.Conn, client int, id string) error {
+		rest := body[:len(body)>>(client%halvings)]
+		head := strings.NewReplacer("LENGTH", fmt.Sprint(len(rest)+1), "ID", id).Replace(fields)
+		if _, err := io.WriteString(conn, requestHead(path, id, head)+"\r\n"); err != nil {
+			return err
+		}
+		for len(rest) > 0 {
+			n := min(pieceBytes, len(rest))
+			if _, err := conn.Write(rest[:n]); err != nil {
+				return err
+			}
+			rest = rest[n:]
+		}
+		return hold(conn)
+	}
+}
+
+// sendText sends a text, in which ID stands for the ID of the request, and holds the connection.
+func sendText(text string) behavior {
+	return func(conn net.Conn, _ int, id string) error {
+		if _, err := io.WriteString(conn, strings.Replace(text, "ID", id, 1)); err != nil {
+			return err
+		}
+		return hold(conn)
+	}
+}
+
+// target is a process that a crowd calls.
+type target struct {
+	*process
+	// addr is its port for callers.
+	addr string
+	// call sends an ordinary request and returns the status, 0 without a response.
+	call func(body io.Reader) int
+	// legalBody is the size of the largest body that its callers may send.
+	legalBody int
+}
+
+// requireServed requires that an ordinary request with a body is answered, at some time and at some attempt.
+func (p *target) requireServed(bodyBytes int) {
+	statuses := make(map[int]int)
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(crowdPause) {
+		status := p.call(bytes.NewReader(make([]byte, bodyBytes)))
+		if status == http.StatusOK {
+			return
+		}
+		statuses[status]++
+	}
+	require.Fail(p.t, "no request was served", "body of %d bytes, statuses %v", bodyBytes, statuses)
+}
+
+// requireEndures lets a crowd do something. While it goes on, the process must keep to its memory and its descriptors, and serve
+// an ordinary request. Once the crowd is gone, it must serve the largest one.
+func (p *target) requireEndures(clients int, behave behavior) {
+	c := startCrowd(p.t, p.addr, clients, behave)
+	most := 0
+	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(crowdPause) {
+		p.requireRuns()
+		most = max(most, p.openDescriptors())
+	}
+	p.requireServed(0)
+	p.requireServed(ordinaryBody)
+	p.requireRuns()
+	most = max(most, p.openDescriptors())
+	peak := p.peakMB()
+	p.t.Logf("peak memory %d MB of %d, %d descriptors open of %d, %d connections", peak, crowdMemoryMB, most, crowdDescriptors, c.connects.Load())
+	c.end()
+	require.Less(p.t, peak, crowdMemoryMB)
+	require.LessOrEqual(p.t, most, maxOpenDescriptors)
+	p.requireServed(p.legalBody)
+}
+
+// Guards against connections that together take more memory than there is, without much of a request on any (issue 52).
+func TestConnectionsFitTheMemory(t *testing.T) {
+	const memoryMB, clients = 64, 3000
+	p := startRouterWith(t, routerConfig{services: make(map[string]http.HandlerFunc), memoryMB: memoryMB}).target()
+	startCrowd(t, p.addr, clients, sendBody("/sound/repeatable/x", "Content-Length: 4000\r\n", make([]byte, 3999), legalBody))
+	time.Sleep(crowdTime)
+	p.requireServed(ordinaryBody)
+	p.requireRuns()
+	peak := p.peakMB()
+	t.Logf("peak memory %d MB of %d, %d descriptors open", peak, memoryMB, p.openDescriptors())
+	require.Less(t, peak, memoryMB)
+}
+
+// startCrowded starts a router for a crowd.
+func startCrowded(t *testing.T, services map[string]http.HandlerFunc) *target {
+	if services == nil {
+		services = make(map[string]http.HandlerFunc)
+	}
+	return startRouterWith(t, routerConfig{services: services, memoryMB: crowdMemoryMB, descriptors: crowdDescriptors}).target()
+}
+
+// target returns the router as the target of a crowd.
+func (p *routerProcess) target() *target {
+	return &target{process: p.process, addr: p.addrs["callers"], legalBody: legalBody, call: func(body io.Reader) int {
+		return p.call(p.t.Context(), "/sound/repeatable/x", body)
+	}}
+}
+
+// Guards against clients that take all descriptors: with connections on which they send nothing, or nothing more
+// after a request (issue 52).
+func TestIdleConnections(t *testing.T) {
+	tests := map[string]string{
+		"unused":          "",
+		"start of a head": "POST /sound/repeatable/x HTTP/1.1\r\nHost: h\r\n",
+		"used":            requestHead("/sound/repeatable/x", "ID", "Content-Length: 0\r\n") + "\r\n",
+	}
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) {
+			startCrowded(t, nil).requireEndures(crowdDescriptors+100, sendText(sent))
+		})
+	}
+}
--- a/cmd/bronzerill/memory_test.go
+++ b/cmd/bronzerill/memory_test.go
@@ -38,21 +38,49 @@
 	troubleTime = 1500 * time.Millisecond
 )
 
+// process is a process of the program.
+type process struct {
+	t     *testing.T
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
 // routerProcess is a router that runs as a process of its own, with servers of this test.
 type routerProcess struct {
-	t       *testing.T
-	process *exec.Cmd
-	ended   chan struct{}
-	addrs   map[string]string
-	client  *http.Client
-	lastID  atomic.Int64
+	*process
+	addrs  map[string]string
+	client *http.Client
+	lastID atomic.Int64
+}
+
+// routerConfig configures a router of a test.
+type routerConfig struct {
+	// services has a handler for each service. There is also one with the name sound.
+	services map[string]http.HandlerFunc
+	// memoryMB is the setting memory-mb.
+	memoryMB int
+	// descriptors is how many the process may have open, 0 for as many as this one.
+	descriptors int
+	// settings are further lines of the section router.
+	settings string
 }
 
 // startRouter starts a router with a service for each handler, and one with the name sound.
 func startRouter(t *testing.T, services map[string]http.HandlerFunc) *routerProcess {
-	program := filepath.Join(t.TempDir(), "bronzerill")
+	return startRouterWith(t, routerConfig{services: services, memoryMB: memoryMB})
+}
+
+// buildProgram builds the program.
+func buildProgram(t *testing.T) (program string) {
+	program = filepath.Join(t.TempDir(), "bronzerill")
 	output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 	require.NoError(t, err, string(output))
+	return program
+}
+
+// startRouterWith starts a router.
+func startRouterWith(t *testing.T, cfg routerConfig) *routerProcess {
+	program, services := buildProgram(t), cfg.services
 	services["sound"] = func(w http.ResponseWriter, r *http.Request) {
 		id, _, _ := standin.ReadRequestHeaders(r)
 		standin.Sign(w, id, "s")
@@ -72,7 +100,7 @@
 		}
 	}
 	list := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(standin.List(servers)) })
-	p := &routerProcess{t: t, ended: make(chan struct{}), addrs: make(map[string]string), client: &http.Client{
+	p := &routerProcess{addrs: make(map[string]string), client: &http.Client{
 		Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true},
 	}}
 	settings := "name = \"router\"\nzone = \"z\"\n[router]\n"
@@ -80,32 +108,58 @@
 		p.addrs[name] = freeAddr(t)
 		settings += fmt.Sprintf("%s = %q\n", name, p.addrs[name])
 	}
-	settings += fmt.Sprintf("seeds = [%q]\nfound = true\ndata-folder = %q\ninstance-list = %q\nmemory-mb = %d\nstop-timeout = \"2s\"\n[router.bounds]\nretry-ratio = \"0.2\"\nretry-slack = \"62\"\nload-multiple = \"2\"\n",
-		p.addrs["operators"], t.TempDir(), list, memoryMB)
+	settings += fmt.Sprintf("seeds = [%q]\nfound = true\ndata-folder = %q\ninstance-list = %q\nmemory-mb = %d\nstop-timeout = \"2s\"\n%s\n[router.bounds]\nretry-ratio = \"0.2\"\nretry-slack = \"62\"\nload-multiple = \"2\"\n",
+		p.addrs["operators"], t.TempDir(), list, cfg.memoryMB, cfg.settings)
 	path := filepath.Join(t.TempDir(), "router.toml")
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
-	p.process = exec.Command(program, "run", "--settings", path)
-	p.process.Stderr = t.Output()
-	require.NoError(t, p.process.Start())
+	p.process = startProcess(t, cfg.descriptors, program, "run", "--settings", path)
+	p.await("the declared state", func() bool {
+		request, err := http.NewRequest(http.MethodPut, "http://"+p.addrs["operators"]+standin.ConfigPath, strings.NewReader(standin.Document(document)))
+		require.NoError(t, err)
+		return p.status(request) == http.StatusOK
+	})
+	p.await("the first answer", func() bool { return p.call(t.Context(), "/sound/repeatable/x", nil) == http.StatusOK })
+	return p
+}
+
+// startProcess starts a process that may have a number of descriptors open, 0 for as many as this one. It runs until the
+// end of the test.
+func startProcess(t *testing.T, descriptors int, program string, args ...string) *process {
+	p := &process{t: t, cmd: exec.Command(program, args...), ended: make(chan struct{})}
+	if descriptors > 0 {
+		p.cmd = exec.Command("sh", append([]string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(descriptors), program}, args...)...)
+	}
+	p.cmd.Stderr = t.Output()
+	require.NoError(t, p.cmd.Start())
 	var group errgroup.Group
 	group.Go(func() error {
-		_ = p.process.Wait() // the tests check whether the process runs
+		_ = p.cmd.Wait() // the tests check whether the process runs
 		close(p.ended)
 		return nil
 	})
 	t.Cleanup(func() {
-		_ = p.process.Process.Signal(syscall.SIGKILL)
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
 		require.NoError(t, group.Wait())
 	})
-	p.await("the declared state", func() bool {
-		request, err := http.NewRequest(http.MethodPut, "http://"+p.addrs["operators"]+standin.ConfigPath, strings.NewReader(standin.Document(document)))
-		require.NoError(t, err)
-		return p.status(request) == http.StatusOK
-	})
-	p.await("the first answer", func() bool { return p.call(t.Context(), "/sound/repeatable/x", nil) == http.StatusOK })
 	return p
 }
 
+// openDescriptors returns how many descriptors the process has open.
+func (p *process) openDescriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	require.NoError(p.t, err, "the process runs")
+	return len(entries)
+}
+
+// requireRuns fails if the process has ended.
+func (p *process) requireRuns() {
+	select {
+	case <-p.ended:
+		require.Fail(p.t, "the process has ended")
+	default:
+	}
+}
+
 func serve(t *testing.T, handler http.HandlerFunc) (addr string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -126,7 +180,7 @@
 	return listener.Addr().String()
 }
 
-func (p *routerProcess) await(what string, done func() bool) {
+func (p *process) await(what string, done func() bool) {
 	require.Eventually(p.t, done, 15*time.Second, 50*time.Millisecond, what)
 }
 
@@ -153,8 +207,8 @@
 }
 
 // peakMB returns the largest resident memory that the process has had.
-func (p *routerProcess) peakMB() int {
-	status, err := os.Open(fmt.Sprintf("/proc/%d/status", p.process.Process.Pid))
+func (p *process) peakMB() int {
+	status, err := os.Open(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	require.NoError(p.t, err, "the process runs")
 	defer func() { _ = status.Close() }()
 	for lines := bufio.NewScanner(status); lines.Scan(); {
@@ -196,11 +250,7 @@
 	p.t.Logf("peak memory %d MB of %d, statuses of other requests %v", peak, memoryMB, statuses)
 	require.Less(p.t, peak, memoryMB)
 	require.Equal(p.t, http.StatusOK, p.call(p.t.Context(), "/sound/repeatable/x", nil))
-	select {
-	case <-p.ended:
-		require.Fail(p.t, "the process has ended")
-	default:
-	}
+	p.requireRuns()
 	require.Zero(p.t, others, "other requests are served: %v", statuses)
 }
 
--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -18,6 +18,7 @@
 	retried = expvar.NewMap("retried-by-kind")
 	spilled = expvar.NewMap("spilled-by-kind")
 	events  = expvar.NewMap("events")
+	conns   = expvar.NewMap("connections-open")
 )
 
 // Refused counts a request that was refused without being run.
@@ -64,11 +65,24 @@
 	EventHandover         Event = "cache-handed-over"
 	EventTakeover         Event = "cache-taken-over"
 	EventPanic            Event = "panic-contained"
+	EventYieldedIdle      Event = "connection-yielded-idle"
+	EventYieldedHead      Event = "connection-yielded-head"
+	EventYieldedBody      Event = "connection-yielded-body"
+	EventYieldedResponse  Event = "connection-yielded-answer"
+	EventHeadTooLarge     Event = "head-without-memory"
+	EventBodyStalled      Event = "body-stalled"
+	EventResponseStalled  Event = "answer-stalled"
 )
 
 // Count increments the counter of an event.
 func Count(e Event) { events.Add(string(e), 1) }
 
+// ConnectionOpened counts a connection that was opened at a port.
+func ConnectionOpened(port string) { conns.Add(port, 1) }
+
+// ConnectionClosed counts a connection that was closed at a port.
+func ConnectionClosed(port string) { conns.Add(port, -1) }
+
 // Parameters of the histograms.
 const (
 	maxMicros         = int64(time.Hour / time.Microsecond)
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -17,6 +17,7 @@
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
 	"bronzerill/internal/wire/httpabort"
+	"bronzerill/internal/wire/httpport"
 	"bronzerill/internal/wire/memory"
 )
 
@@ -106,7 +107,7 @@
 		r:       r,
 		request: h.cfg.Dialect.ParseRequest(r.Header),
 		start:   h.cfg.Clock(),
-		body:    h.cfg.Memory.NewBuffer(r.ContentLength),
+		body:    h.cfg.Memory.NewBuffer(httpport.Transfer(r), r.ContentLength),
 
 		deliveries: make(chan delivery),
 	}
@@ -199,6 +200,10 @@
 			return bronzerill.KindUnauthorized
 		}
 	}
+	e.deadline = e.start.Add(e.route.Timeout)
+	if e.request.Timeout > 0 {
+		e.deadline = earlier(e.deadline, e.start.Add(e.request.Timeout))
+	}
 	if kind := e.readBody(); kind != bronzerill.KindNone {
 		return kind
 	}
@@ -217,10 +222,6 @@
 	if kind := e.findVersion(); kind != bronzerill.KindNone {
 		return kind
 	}
-	e.deadline = e.start.Add(e.route.Timeout)
-	if e.request.Timeout > 0 {
-		e.deadline = earlier(e.deadline, e.start.Add(e.request.Timeout))
-	}
 	if !e.takes(e.cfg.Clock()) {
 		return bronzerill.KindLeaving
 	}
@@ -237,21 +238,26 @@
 }
 
 // readBody reads the body of the request. It refuses one that is too large, or for which there is no
-// memory, as soon as that is known.
+// memory, as soon as that is known, and one that doesn't arrive before the deadline.
 func (e *exchange) readBody() bronzerill.Kind {
+	if e.r.ContentLength == 0 {
+		return bronzerill.KindNone
+	}
 	defer e.limitBodyRead()()
 	if e.r.ContentLength > maxBody {
 		return bronzerill.KindBodyTooLarge
 	}
 	kind := bronzerill.KindOverloaded
 	if e.cfg.Memory.Fits(e.r.ContentLength) {
-		err := e.body.ReadAll(e.r.Body, maxBody)
-		if kind = bronzerill.KindOf(err); kind == bronzerill.KindInternal {
-			e.retryAfter = stopRetryAfter
-			return e.canceledKind()
-		}
-	}
-	if kind == bronzerill.KindOverloaded {
+		httpport.SetBodyDeadline(e.r, e.deadline)
+		kind = bronzerill.KindOf(e.body.ReadAll(e.r.Body, maxBody))
+	}
+	switch {
+	case kind == bronzerill.KindNone:
+	case kind == bronzerill.KindInternal, e.isGivenUp():
+		e.retryAfter = stopRetryAfter
+		return e.canceledKind()
+	default:
 		e.retryAfter = defaultRetryAfter
 	}
 	return kind
--- a/internal/router/caller/servercall.go
+++ b/internal/router/caller/servercall.go
@@ -16,6 +16,7 @@
 	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
+	"bronzerill/internal/wire/httpport"
 	"bronzerill/internal/wire/memory"
 )
 
@@ -194,7 +195,7 @@
 
 func (c *serverCall) acceptHeader(response *server.Response) (a attempt, failed bool) {
 	c.response = response
-	c.held = c.cfg.Memory.NewBuffer(response.Length)
+	c.held = c.cfg.Memory.NewBuffer(httpport.Transfer(c.r), response.Length)
 	c.cfg.Servers.ConfirmUp(c.cfg.Clock(), c.choice, c.service.ColdStart)
 	info := c.cfg.Dialect.ParseResponse(response.Status, response.Header)
 	c.applyStatements(info)
--- a/internal/router/caller/stopping.go
+++ b/internal/router/caller/stopping.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bronzerill"
+	"bronzerill/internal/wire/httpport"
 )
 
 // stopRetryAfter is the retry delay for a caller whose request a stopping router refuses. Other
@@ -78,6 +79,7 @@
 // that, so the returned function needn't undo it.
 func (e *exchange) limitBodyRead() (stop func() bool) {
 	return context.AfterFunc(e.stopping.open, func() {
+		httpport.RefuseBody(e.r)
 		// If this fails, the connection is broken already.
 		_ = http.NewResponseController(e.w).SetReadDeadline(e.cfg.Clock())
 	})
--- a/internal/router/server/client.go
+++ b/internal/router/server/client.go
@@ -163,7 +163,7 @@
 	request := newRequest(call)
 	stop := context.AfterFunc(ctx, func() { _ = conn.reset() })
 	if c.cfg.Memory != nil {
-		conn.limited.share, conn.limited.counted = c.cfg.Memory.NewShare(), true
+		conn.limited.share, conn.limited.counted = c.cfg.Memory.NewShare(nil), true
 	}
 	write := startWrite(conn, request, len(call.Body))
 	response, err := c.readResponse(conn, request, call.Match) //nolint:bodyclose // the body of the returned Response closes it
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -72,7 +72,7 @@
 // Start listens on the entries' port and registers the process in the background.
 func Start(ctx context.Context, group *errgroup.Group, cfg Config) (*Role, error) {
 	settings := *cfg.Settings.Agent
-	port, err := httpport.Listen(settings.Listen)
+	port, err := httpport.Listen(settings.Listen, httpport.Config{})
 	if err != nil {
 		return nil, errors.Wrap(err, "agent.listen")
 	}
--- a/internal/run/entry/role.go
+++ b/internal/run/entry/role.go
@@ -48,7 +48,7 @@
 
 // Start listens on the callers' port and begins to renew the lease.
 func Start(ctx context.Context, group *errgroup.Group, cfg Config) (*Role, error) {
-	port, err := httpport.Listen(cfg.Settings.Entry.Listen)
+	port, err := httpport.Listen(cfg.Settings.Entry.Listen, httpport.Config{})
 	if err != nil {
 		return nil, errors.Wrap(err, "entry.listen")
 	}
--- a/internal/run/process/process.go
+++ b/internal/run/process/process.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	port, err := httpport.Listen(p.settings.Operator.Listen)
+	port, err := httpport.Listen(p.settings.Operator.Listen, httpport.Config{})
 	if err != nil {
 		return errors.Wrap(err, "operator.listen")
 	}
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,10 +22,10 @@
 	"bronzerill/internal/router/peer"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
+	"bronzerill/internal/run/limits"
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	"bronzerill/internal/wire/httpport"
-	"bronzerill/internal/wire/memory"
 	"bronzerill/internal/wire/netrpc"
 	"bronzerill/platform"
 )
@@ -35,15 +34,6 @@
 const (
 	// maintenanceInterval is the time between two rounds of maintenance.
 	maintenanceInterval = 250 * time.Millisecond
-	// heapPercent is the share of the memory that the heap may use before garbage is
-	// collected more often. The rest is for sockets and for the heap's growth beyond the
-	// limit until garbage is collected.
-	heapPercent = 40
-	// bodyPercent is the share of the memory that the bodies of requests and responses may take. With the
-	// router's own data it stays below heapPercent, so that the collection of garbage keeps up.
-	bodyPercent = 20
-	// defaultBodyMemory is what bodies may take without a memory limit, in bytes.
-	defaultBodyMemory = 256 << 20
 	// reloadInterval is the time between checks of the settings file, which may change
 	// without a signal.
 	reloadInterval = time.Second
@@ -63,12 +53,11 @@
 	handler      *caller.Handler
 	holder       *stateHolder
 	group        *group
-	// memory is what the bodies of all requests and responses may take.
-	memory    *memory.Budget
-	list      *listPoller
-	directory *directoryClient
-	streams   *streamRegistry
-	versions  *versionHistory
+	limits       limits.Limits
+	list         *listPoller
+	directory    *directoryClient
+	streams      *streamRegistry
+	versions     *versionHistory
 	// ports holds the open ports by the keys of their settings.
 	ports    map[string]*httpport.Port
 	stopping atomic.Bool
@@ -80,9 +69,6 @@
 func Run(ctx context.Context, s file.Settings, settingsPath string, adapter platform.Adapter) error {
 	// A write beyond a limit on the size of files fails then, as on a full disk.
 	signal.Ignore(syscall.SIGPIPE, syscall.SIGXFSZ)
-	if limit := s.Router.MemoryMB; limit > 0 {
-		debug.SetMemoryLimit(int64(limit) << 20 * heapPercent / 100)
-	}
 	stop, cancelStop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancelStop()
 	reload := make(chan os.Signal, 1)
@@ -128,6 +114,10 @@
 	if err != nil {
 		return nil, err
 	}
+	processLimits, err := limits.Apply(s)
+	if err != nil {
+		return nil, err
+	}
 	seed := xxhash.Sum64String(s.Name) ^ uint64(now.UnixNano())
 	self := peer.Peer{Name: s.Name, Addr: s.Router.AdvertisedAddr(), Zone: s.Zone, Started: now.UnixNano()}
 	r := &Router{
@@ -136,9 +126,9 @@
 		peers:   peer.NewTable(self, seeds, seed),
 		clients: peer.NewClients(secret),
 		servers: placement.NewTable(placement.Config{Name: s.Name, Zone: s.Zone, Seed: seed}),
-		memory:  memory.NewBudget(bodyMemory(*s.Router)),
+		limits:  processLimits,
 	}
-	r.client = server.NewClient(server.Config{Clock: time.Now, Memory: r.memory})
+	r.client = server.NewClient(server.Config{Clock: time.Now, Memory: r.limits.Memory})
 	savedPeers, err := readSavedPeers(s.Router.DataFolder)
 	if err != nil {
 		// The router also finds its peers through the seeds, but later.
@@ -162,7 +152,7 @@
 	r.directory = newDirectoryClient(now, r)
 	r.group = newGroup(r, secret)
 	r.handler = caller.NewHandler(caller.Config{
-		Dialect: adapter, Servers: r.servers, Client: r.client, Streams: r.streams, Routes: r.holder.Table, Clock: time.Now, Log: log, Memory: r.memory,
+		Dialect: adapter, Servers: r.servers, Client: r.client, Streams: r.streams, Routes: r.holder.Table, Clock: time.Now, Log: log, Memory: r.limits.Memory,
 	})
 	return r, nil
 }
@@ -175,14 +165,6 @@
 	return netrpc.Secret(secret), err
 }
 
-// bodyMemory returns what bodies may take in bytes.
-func bodyMemory(r file.Router) int64 {
-	if r.MemoryMB == 0 {
-		return defaultBodyMemory
-	}
-	return int64(r.MemoryMB) << 20 * bodyPercent / 100
-}
-
 func placementLimits(r file.Router) placement.Limits {
 	return placement.Limits{
 		RetryRatio:   float64(r.Bounds.RetryRatio),
--- a/internal/run/router/web.go
+++ b/internal/run/router/web.go
@@ -14,7 +14,6 @@
 	"bronzerill/internal/router/caller"
 	"bronzerill/internal/wire/httpabort"
 	"bronzerill/internal/wire/httpport"
-	"bronzerill/internal/wire/memory"
 )
 
 // Limits of the HTTP ports.
@@ -59,27 +58,29 @@
 	metrics.Handle("/debug/vars", expvar.Handler())
 	metrics.Handle("/metrics", expvar.Handler())
 	ports := []struct {
-		key, addr string
-		handler   http.Handler
+		cfg     httpport.Config
+		addr    string
+		handler http.Handler
 	}{
-		{callersKey, s.Callers, r.handler},
-		{"router.readiness", s.Readiness, r.adapter.ReadinessHandler(r.Ready)},
-		{operatorsKey, s.Operators, memory.LimitBodies(r.memory, operatorBodyFactor, r.adapter.OperatorHandler(r.group))},
-		{"router.metrics", s.Metrics, metrics},
+		{r.limits.CallerPort(callersKey), s.Callers, r.handler},
+		{r.limits.OtherPort("router.readiness"), s.Readiness, r.adapter.ReadinessHandler(r.Ready)},
+		{r.limits.OtherPort(operatorsKey), s.Operators, httpport.CountBodies(r.limits.Memory, operatorBodyFactor, r.adapter.OperatorHandler(r.group))},
+		{r.limits.OtherPort("router.metrics"), s.Metrics, metrics},
 	}
 	for _, port := range ports {
 		if port.addr == "" {
 			continue
 		}
-		if err := r.serve(ctx, tasks, port.key, port.addr, port.handler); err != nil {
+		if err := r.serve(ctx, tasks, port.cfg, port.addr, port.handler); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r *Router) serve(ctx context.Context, tasks *errgroup.Group, key, addr string, handler http.Handler) error {
-	port, err := httpport.Listen(addr)
+func (r *Router) serve(ctx context.Context, tasks *errgroup.Group, cfg httpport.Config, addr string, handler http.Handler) error {
+	key := cfg.Name
+	port, err := httpport.Listen(addr, cfg)
 	if err != nil {
 		return errors.Wrap(err, key)
 	}
--- a/internal/settings/file/settings.go
+++ b/internal/settings/file/settings.go
@@ -41,6 +41,7 @@
 	LogLevel string `toml:"log-level"`
 	// Control lists the addresses of the control replicas. Entries and agents need it.
 	Control  []string  `toml:"control-replicas"`
+	Limits   Limits    `toml:"limits"`
 	Operator *Operator `toml:"operator"`
 	Replica  *Replica  `toml:"control"`
 	Entry    *Entry    `toml:"entry"`
@@ -91,6 +92,31 @@
 	DrainTimeout Duration `toml:"drain-timeout"`
 }
 
+// Limits holds what the process may use of its machine.
+type Limits struct {
+	// MemoryMB is the memory limit above which the process is killed, 0 for no limit. A router's may also stand in
+	// its own section.
+	MemoryMB int `toml:"memory-mb"`
+	// MaxDescriptors is how many descriptors the process may have open. The default is the limit of the operating
+	// system.
+	MaxDescriptors int `toml:"max-descriptors"`
+	// MaxConnections is how many connections the port for callers, or an agent's for entries, may have open. The default
+	// follows from the other limits.
+	MaxConnections int `toml:"max-connections"`
+	// StallTimeout is how long a client may take to send or read the next 64 KB of a request or response, or the rest. The
+	// default is 30 s.
+	StallTimeout Duration `toml:"stall-timeout"`
+}
+
+// MemoryBytes returns the memory limit of the process in bytes, 0 for no limit.
+func (s Settings) MemoryBytes() int64 {
+	limit := s.Limits.MemoryMB
+	if s.Router != nil && s.Router.MemoryMB > 0 {
+		limit = s.Router.MemoryMB
+	}
+	return int64(limit) << 20
+}
+
 // Default returns the settings that apply before a file is read.
 func Default() Settings { return Settings{LogLevel: "info"} }
 
@@ -137,6 +163,7 @@
 const (
 	defaultBalancerDelay = 3 * time.Second
 	defaultDrainTimeout  = 5 * time.Minute
+	defaultStallTimeout  = 30 * time.Second
 )
 
 func (s Settings) withDefaults() Settings {
@@ -149,6 +176,9 @@
 	if s.Operator != nil && len(s.Operator.Allow) == 0 {
 		s.Operator.Allow = []string{"127.0.0.0/8"}
 	}
+	if s.Limits.StallTimeout.Duration == 0 {
+		s.Limits.StallTimeout.Duration = defaultStallTimeout
+	}
 	return s
 }
 
@@ -203,9 +233,20 @@
 	if s.Router != nil {
 		c.checkRouter(*s.Router)
 	}
+	c.checkLimits(s.Limits)
 	return c.faults
 }
 
+// minDescriptors is the least number of descriptors with which a process can work.
+const minDescriptors = 64
+
+func (c *checker) checkLimits(l Limits) {
+	c.require(l.MemoryMB >= 0, "limits.memory-mb: want 0 or more")
+	c.require(l.MaxDescriptors == 0 || l.MaxDescriptors >= minDescriptors, "limits.max-descriptors: want 64 or more")
+	c.require(l.MaxConnections >= 0, "limits.max-connections: want 0 or more")
+	c.require(l.StallTimeout.Duration > 0, "limits.stall-timeout: want a time above 0")
+}
+
 func (c *checker) checkAgent(s Settings) {
 	c.checkAddress("agent.listen", s.Agent.Listen)
 	c.require(s.Zone != "", "zone: missing, required for agents")
--- /dev/null
+++ b/internal/wire/httpport/conn.go
@@ -0,0 +1,220 @@
+package httpport
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"time"
+
+	"bronzerill/internal/operator/metrics"
+	"bronzerill/internal/wire/memory"
+)
+
+// What the head of a request takes, in bytes: each of its bytes and each of its lines several times, while it is read,
+// while the request is served, and to forward it.
+const (
+	headByteMemory = 4
+	headLineMemory = 256
+	// usualHeadMemory is what isn't counted.
+	usualHeadMemory = 16 << 10
+)
+
+// portConn is an accepted connection.
+type portConn struct {
+	*net.TCPConn
+	cfg        Config
+	transfer   *memory.Transfer
+	acceptedAt time.Time
+	mu         sync.Mutex
+	// busy is set from the first byte of a request to the end of its response.
+	busy bool
+	// used is set after the first byte of the first request.
+	used bool
+	// awaiting is set while the http.Server waits for the next request.
+	awaiting bool
+	// released is set if reads are to fail, unless a request has arrived already.
+	released bool
+	// refused is set once no more of the body of the request is to be read.
+	refused bool
+	// inHead is set until the head of a request has been read. headMemory is what that takes so far.
+	inHead     bool
+	headMemory int64
+	// gone is set if the connection was closed before the head of a request had been read.
+	gone bool
+	// readDeadline is the deadline that the http.Server has set.
+	readDeadline time.Time
+	// head is what a long head takes. It belongs to the goroutine of the http.Server.
+	head memory.Share
+}
+
+func newPortConn(now time.Time, conn *net.TCPConn, cfg Config) *portConn {
+	c := &portConn{TCPConn: conn, cfg: cfg, acceptedAt: now, inHead: true}
+	c.transfer = cfg.Memory.NewTransfer(now, c.yield)
+	c.head = cfg.Memory.NewShare(c.transfer)
+	return c
+}
+
+// Read reads the next bytes of a request. If there is no memory for its head, the http.Server closes the connection.
+func (c *portConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if deadlineErr := c.setBusy(); deadlineErr != nil {
+		return n, deadlineErr
+	}
+	c.countHead(p[:n])
+	return n, err
+}
+
+// setBusy is called when bytes of a request have arrived.
+func (c *portConn) setBusy() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.used, c.awaiting = true, true, false
+	if !c.released {
+		return nil
+	}
+	c.released = false
+	return c.TCPConn.SetReadDeadline(c.readDeadline)
+}
+
+// countHead returns what a head takes with the bytes that have arrived, 0 if they belong to none.
+func (c *portConn) countHead(data []byte) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inHead {
+		return 0
+	}
+	if c.headMemory == 0 {
+		c.transfer.Begin(c.cfg.Clock(), memory.PhaseHead)
+	}
+	c.headMemory += headByteMemory*int64(len(data)) + headLineMemory*int64(bytes.Count(data, []byte{'\n'}))
+	return c.headMemory
+}
+
+// SetReadDeadline sets the read deadline. A released connection keeps its own, unless the
+// http.Server has the next request already: it sets a deadline when it begins to wait, and the
+// next one when it has something to read, which may come from its buffer.
+func (c *portConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.awaiting {
+		c.busy, c.released = true, false
+	}
+	c.awaiting = c.used && !c.busy
+	if c.released {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// beginWork is called when the head of a request has been read.
+func (c *portConn) beginWork(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused, c.inHead, c.headMemory = false, false, 0
+	c.gone = !c.transfer.Begin(now, memory.PhaseWorking)
+}
+
+// setIdle is called at the end of a response.
+func (c *portConn) setIdle(now time.Time) {
+	c.head.Free()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.inHead = false, true
+	c.transfer.Begin(now, memory.PhaseIdle)
+}
+
+// isGone reports whether the connection was closed before the head of the request had been read.
+func (c *portConn) isGone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gone
+}
+
+// end gives back what the connection takes.
+func (c *portConn) end() {
+	c.head.Free()
+	c.transfer.Close()
+}
+
+// releaseIfIdle makes the http.Server close the connection unless it reads a request. The read
+// fails before it takes any byte, or succeeds and the request is served.
+func (c *portConn) releaseIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || c.released || !c.used && now.Sub(c.acceptedAt) < unusedTimeout {
+		return
+	}
+	c.failReads()
+}
+
+// release makes the http.Server close the connection if it is idle.
+func (c *portConn) release() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || c.released {
+		return false
+	}
+	c.failReads()
+	return true
+}
+
+// failReads makes reads fail, unless a request has arrived already. The caller holds the lock.
+func (c *portConn) failReads() {
+	c.released = true
+	// If this fails, the connection is closed already.
+	_ = c.TCPConn.SetReadDeadline(c.acceptedAt)
+}
+
+// yield makes the connection give its memory back while it waits for the client.
+func (c *portConn) yield(phase memory.Phase) bool {
+	switch phase {
+	case memory.PhaseIdle:
+		return c.release() && counted(metrics.EventYieldedIdle)
+	case memory.PhaseHead:
+		return c.closeInHead() && counted(metrics.EventYieldedHead)
+	case memory.PhaseBody:
+		c.refuseBody()
+		return counted(metrics.EventYieldedBody)
+	}
+	return false
+}
+
+// counted counts an event and returns true.
+func counted(e metrics.Event) bool {
+	metrics.Count(e)
+	return true
+}
+
+// closeInHead closes the connection unless the head of the request has been read.
+func (c *portConn) closeInHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inHead {
+		return false
+	}
+	// Reads fail then. If it fails itself, the connection is closed already.
+	_ = c.TCPConn.Close()
+	return true
+}
+
+// refuseBody makes reads of the request's body fail.
+func (c *portConn) refuseBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = true
+	// If this fails, the connection is closed already.
+	_ = c.TCPConn.SetReadDeadline(c.acceptedAt)
+}
+
+// limitBodyRead limits the next read of the request's body. It does nothing once that is refused.
+func (c *portConn) limitBodyRead(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.refused {
+		_ = c.TCPConn.SetReadDeadline(until) // as above
+	}
+}
--- a/internal/wire/memory/handler.go
+++ b/internal/wire/httpport/count.go
@@ -1,17 +1,18 @@
-package memory
+package httpport
 
 import (
 	"io"
 	"net/http"
 
 	"bronzerill"
+	"bronzerill/internal/wire/memory"
 )
 
-// LimitBodies returns a handler that counts the bodies of its requests in a budget, each a number of times. Reading
+// CountBodies returns a handler that counts the bodies of its requests in a budget, each a number of times. Reading
 // a body fails with an error of kind table-full if the budget has no room for it.
-func LimitBodies(budget *Budget, factor int64, next http.Handler) http.Handler {
+func CountBodies(budget *memory.Budget, factor int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body := &countedBody{ReadCloser: r.Body, share: budget.NewShare(), factor: factor}
+		body := &countedBody{ReadCloser: r.Body, share: budget.NewShare(Transfer(r)), factor: factor}
 		defer body.share.Free()
 		r.Body = body
 		next.ServeHTTP(w, r)
@@ -21,7 +22,7 @@
 // countedBody counts what is read of a body.
 type countedBody struct {
 	io.ReadCloser
-	share  Share
+	share  memory.Share
 	factor int64
 	read   int64
 }
--- a/internal/wire/httpport/pipelined_test.go
+++ b/internal/wire/httpport/pipelined_test.go
@@ -15,7 +15,7 @@
 
 // Guards against the cancellation of a pipelined request, which was read together with the one before.
 func TestPipelinedRequestIsServedAfterThePortWasClosed(t *testing.T) {
-	port, err := Listen("127.0.0.1:0")
+	port, err := Listen("127.0.0.1:0", Config{})
 	require.NoError(t, err)
 	began := make(chan struct{}, 2)
 	canceled := make(chan error, 2)
--- a/internal/wire/httpport/port.go
+++ b/internal/wire/httpport/port.go
@@ -1,4 +1,5 @@
-// Package httpport stops HTTP servers without leaving a request unanswered that was read.
+// Package httpport listens for HTTP clients. It bounds what their connections may hold, and stops without leaving
+// a request unanswered that was read.
 package httpport
 
 import (
@@ -9,6 +10,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bronzerill/internal/operator/metrics"
+	"bronzerill/internal/wire/memory"
 )
 
 // Timing of a stop.
@@ -20,18 +24,56 @@
 	checkInterval = 10 * time.Millisecond
 )
 
+// defaultStallTimeout applies unless the configuration says otherwise.
+const defaultStallTimeout = 30 * time.Second
+
+// Config configures a Port.
+type Config struct {
+	// Name names the port in the metrics.
+	Name string
+	// Memory counts what requests and responses take. Without it, nothing is bounded together.
+	Memory *memory.Budget
+	// MaxConns is how many connections may be open at once, 0 for no limit. Those of clients that don't finish yield to new
+	// ones, then idle ones.
+	MaxConns int
+	// StallTimeout is how long a client may take to send or read the next 64 KB of a request or response, or the rest.
+	StallTimeout time.Duration
+	// Clock returns the current time. The default is time.Now.
+	Clock func() time.Time
+}
+
+// unboundedMemory is the size of the budget of ports without one.
+const unboundedMemory = 1 << 62
+
+func (c Config) withDefaults() Config {
+	if c.Memory == nil {
+		c.Memory = memory.NewBudget(unboundedMemory)
+	}
+	if c.StallTimeout == 0 {
+		c.StallTimeout = defaultStallTimeout
+	}
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	return c
+}
+
 // Port is a listener that knows its open connections. After Close, its requests are still
 // served, while http.Server.Shutdown closes connections whose request it has just read.
 type Port struct {
 	*net.TCPListener
+	cfg       Config
 	closeOnce sync.Once
 	closeErr  error
 	mu        sync.Mutex
 	conns     map[*portConn]struct{}
+	// roomMade has an element after a connection was closed, and closed is closed with the port.
+	roomMade chan struct{}
+	closed   chan struct{}
 }
 
 // Listen opens a port at a TCP address.
-func Listen(addr string) (*Port, error) {
+func Listen(addr string, cfg Config) (*Port, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -40,12 +82,24 @@
 	if !ok {
 		return nil, errors.Errorf("listener of type %T", listener)
 	}
-	return &Port{TCPListener: tcp, conns: make(map[*portConn]struct{})}, nil
+	return &Port{TCPListener: tcp, cfg: cfg.withDefaults(), conns: make(map[*portConn]struct{}), roomMade: make(chan struct{}, 1), closed: make(chan struct{})}, nil
 }
 
-// Serve serves the port until it or the server is closed. It sets the server's ConnState.
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// Serve serves the port until it or the server is closed. It sets the server's ConnState and bounds how long its handler
+// waits for the bodies of requests.
 func (p *Port) Serve(s *http.Server) error {
 	s.ConnState = p.connState
+	s.Handler = boundBodies(s.Handler)
+	connContext := s.ConnContext
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, conn)
+		}
+		return context.WithValue(ctx, connKey{}, conn)
+	}
 	if err := s.Serve(p); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
@@ -69,20 +123,27 @@
 
 // Close closes the port to new connections. Further calls return the result of the first.
 func (p *Port) Close() error {
-	p.closeOnce.Do(func() { p.closeErr = p.TCPListener.Close() })
+	p.closeOnce.Do(func() {
+		close(p.closed)
+		p.closeErr = p.TCPListener.Close()
+	})
 	return p.closeErr
 }
 
 // Accept accepts the next connection.
 func (p *Port) Accept() (net.Conn, error) {
+	if !p.awaitRoom() {
+		return nil, net.ErrClosed
+	}
 	conn, err := p.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
-	c := &portConn{TCPConn: conn, acceptedAt: time.Now()}
+	c := newPortConn(p.cfg.Clock(), conn, p.cfg)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conns[c] = struct{}{}
+	metrics.ConnectionOpened(p.cfg.Name)
 	return c, nil
 }
 
@@ -93,13 +154,18 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		c.beginWork(p.cfg.Clock())
 	case http.StateIdle:
-		c.setIdle()
+		c.setIdle(p.cfg.Clock())
 	case http.StateClosed, http.StateHijacked:
+		c.end()
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		delete(p.conns, c)
-	case http.StateNew, http.StateActive:
+		metrics.ConnectionClosed(p.cfg.Name)
+		p.signalRoom()
+	case http.StateNew:
 	}
 }
 
@@ -113,77 +179,6 @@
 	return len(p.conns)
 }
 
-// portConn is an accepted connection.
-type portConn struct {
-	*net.TCPConn
-	acceptedAt time.Time
-	mu         sync.Mutex
-	// busy is set from the first byte of a request to the end of its response.
-	busy bool
-	// used is set after the first byte of the first request.
-	used bool
-	// awaiting is set while the http.Server waits for the next request.
-	awaiting bool
-	// released is set if reads are to fail, unless a request has arrived already.
-	released bool
-	// readDeadline is the deadline that the http.Server has set.
-	readDeadline time.Time
-}
-
-// Read reads the next bytes of a request.
-func (c *portConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n == 0 {
-		return n, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.busy, c.used, c.awaiting = true, true, false
-	if c.released {
-		c.released = false
-		if deadlineErr := c.TCPConn.SetReadDeadline(c.readDeadline); deadlineErr != nil {
-			return n, deadlineErr
-		}
-	}
-	return n, err
-}
-
-// SetReadDeadline sets the read deadline. A released connection keeps its own, unless the
-// http.Server has the next request already: it sets a deadline when it begins to wait, and the
-// next one when it has something to read, which may come from its buffer.
-func (c *portConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readDeadline = t
-	if c.awaiting {
-		c.busy, c.released = true, false
-	}
-	c.awaiting = c.used && !c.busy
-	if c.released {
-		return nil
-	}
-	return c.TCPConn.SetReadDeadline(t)
-}
-
-func (c *portConn) setIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.busy = false
-}
-
-// releaseIfIdle makes the http.Server close the connection unless it reads a request. The read
-// fails before it takes any byte, or succeeds and the request is served.
-func (c *portConn) releaseIfIdle(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.busy || c.released || !c.used && now.Sub(c.acceptedAt) < unusedTimeout {
-		return
-	}
-	c.released = true
-	// If this fails, the connection is closed already.
-	_ = c.TCPConn.SetReadDeadline(now)
-}
-
 // CloseWhen returns a handler that asks clients to close their connections if stopping returns
 // true before the response begins.
 func CloseWhen(stopping func() bool, next http.Handler) http.Handler {
--- a/internal/wire/httpport/port_test.go
+++ b/internal/wire/httpport/port_test.go
@@ -14,7 +14,7 @@
 
 // acceptedConn returns a connection of a port and the client's end of it.
 func acceptedConn(t *testing.T) (*Port, *portConn, net.Conn) {
-	port, err := Listen("127.0.0.1:0")
+	port, err := Listen("127.0.0.1:0", Config{})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = port.Close() })
 	client, err := net.Dial("tcp", port.Addr().String())
@@ -113,7 +113,7 @@
 
 // Guards against a stop that fails because both the drain and the http.Server close the port.
 func TestPortMayBeClosedTwice(t *testing.T) {
-	port, err := Listen("127.0.0.1:0")
+	port, err := Listen("127.0.0.1:0", Config{})
 	require.NoError(t, err)
 	require.NoError(t, port.Close())
 	require.NoError(t, port.Close())
--- a/internal/wire/memory/buffer.go
+++ b/internal/wire/memory/buffer.go
@@ -18,13 +18,16 @@
 type Buffer struct {
 	share Share
 	data  []byte
+	// limit is the largest size that is useful, 0 for any.
+	limit int
 	// expected is the stated final size, 0 if it isn't known.
 	expected int
 }
 
-// NewBuffer returns an empty buffer. The expected size may be wrong, and 0 if it isn't known.
-func (b *Budget) NewBuffer(expected int64) Buffer {
-	return Buffer{share: b.NewShare(), expected: int(max(0, min(expected, b.size)))}
+// NewBuffer returns an empty buffer. The expected size may be wrong, and 0 if it isn't known. The transfer is that of
+// the connection to which the body belongs, nil if it belongs to none.
+func (b *Budget) NewBuffer(t *Transfer, expected int64) Buffer {
+	return Buffer{share: b.NewShare(t), expected: int(max(0, min(expected, b.size)))}
 }
 
 // Bytes returns the content. It is valid until the next call of another method.
@@ -50,13 +53,21 @@
 	}
 	capacity := max(need, firstBytes, 2*cap(b.data))
 	if cap(b.data) >= smallBytes {
-		capacity = max(need, cap(b.data)+cap(b.data)/4)
+		capacity = max(need, cap(b.data)+cap(b.data)/2)
 	}
-	if need <= b.expected && (capacity > b.expected || b.expected <= smallBytes) {
+	// A client that states a large size has to send some of it first. From then on, its body is never copied.
+	if need <= b.expected && (cap(b.data) >= smallBytes || capacity > b.expected || b.expected <= smallBytes) {
 		capacity = b.expected
 	}
+	if b.limit > 0 {
+		capacity = max(need, min(capacity, b.limit))
+	}
 	if !b.share.Resize(int64(capacity)) {
-		return false
+		// The stated size may be wrong.
+		capacity = max(need, cap(b.data)+cap(b.data)/4)
+		if !b.share.Resize(int64(capacity)) {
+			return false
+		}
 	}
 	b.data = append(make([]byte, 0, capacity), b.data...)
 	return true
@@ -79,15 +90,28 @@
 // ReadAll appends all that a reader returns, up to a limit. The error is of kind overloaded if the budget has no
 // room for it, and of kind body-too-large beyond the limit.
 func (b *Buffer) ReadAll(r io.Reader, limit int) error {
+	// The last byte shows that the body is too large.
+	b.limit = limit + 1
+	// A body of the expected size ends here, so that the buffer needn't grow for it.
+	var probe [1]byte
 	for {
 		if len(b.data) > limit {
 			return bronzerill.Errorf(bronzerill.KindBodyTooLarge, "over %d bytes", limit)
 		}
-		if !b.grow(1) {
-			return bronzerill.Errorf(bronzerill.KindOverloaded, "no memory left after %d bytes", len(b.data))
+		atEnd := len(b.data) > 0 && len(b.data) == b.expected && len(b.data) == cap(b.data)
+		if !atEnd && !b.grow(1) {
+			return errNoMemory(len(b.data))
+		}
+		free := b.data[len(b.data):cap(b.data)]
+		if atEnd {
+			free = probe[:]
+		}
+		n, err := r.Read(free)
+		if !atEnd {
+			b.data = b.data[:len(b.data)+n]
+		} else if n > 0 && !b.Append(probe[:n]) {
+			return errNoMemory(len(b.data))
 		}
-		n, err := r.Read(b.data[len(b.data):cap(b.data)])
-		b.data = b.data[:len(b.data)+n]
 		if err == io.EOF {
 			return nil
 		}
@@ -96,3 +120,7 @@
 		}
 	}
 }
+
+func errNoMemory(read int) error {
+	return bronzerill.Errorf(bronzerill.KindOverloaded, "no memory left after %d bytes", read)
+}
--- a/internal/wire/memory/memory_test.go
+++ b/internal/wire/memory/memory_test.go
@@ -17,7 +17,7 @@
 	b := NewBudget(1 << 20)
 	var large []Share
 	for range 100 {
-		s := b.NewShare()
+		s := b.NewShare(nil)
 		if s.Resize(2 * smallBytes) {
 			large = append(large, s)
 		}
@@ -25,7 +25,7 @@
 	require.Len(t, large, 6, "three quarters of the budget")
 	require.False(t, b.Fits(2*smallBytes))
 	require.True(t, b.Fits(smallBytes))
-	small := b.NewShare()
+	small := b.NewShare(nil)
 	require.True(t, small.Resize(smallBytes))
 	require.False(t, small.Resize(2*smallBytes), "it grows to a large one")
 	require.Equal(t, int64(13*smallBytes), b.Used(), "a share that doesn't fit changes nothing")
@@ -43,7 +43,7 @@
 	for i := range 50 {
 		group.Go(func() error {
 			for size := range 200 {
-				s := b.NewShare()
+				s := b.NewShare(nil)
 				fits := s.Resize(int64(size * (i + 1) * 20))
 				if fits && b.Used() > 2<<20 {
 					return io.ErrShortBuffer
@@ -60,7 +60,7 @@
 func TestBufferCountsItsCapacity(t *testing.T) {
 	for _, expected := range []int64{0, 10, 3000, 100_000, 1 << 40, -1} {
 		budget := NewBudget(1 << 20)
-		b := budget.NewBuffer(expected)
+		b := budget.NewBuffer(nil, expected)
 		var want bytes.Buffer
 		for i := range 300 {
 			part := strings.Repeat(string(rune('a'+i%26)), i)
@@ -82,7 +82,7 @@
 func TestBodyThatDoesNotFitIsRefused(t *testing.T) {
 	budget := NewBudget(1 << 20)
 	read := func(size, limit int, expected int64) (int, bronzerill.Kind) {
-		b := budget.NewBuffer(expected)
+		b := budget.NewBuffer(nil, expected)
 		defer b.Free()
 		err := b.ReadAll(iotest.HalfReader(strings.NewReader(strings.Repeat("x", size))), limit)
 		return b.Len(), bronzerill.KindOf(err)
@@ -99,7 +99,7 @@
 		require.Equal(t, bronzerill.KindNone, kind)
 		require.Equal(t, 5000, n)
 	}
-	b := budget.NewBuffer(0)
+	b := budget.NewBuffer(nil, 0)
 	require.ErrorIs(t, b.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 10), io.ErrUnexpectedEOF)
 	b.Free()
 	require.Zero(t, budget.Used())
