--- a/cmd/bronzerill/crowd_test.go
+++ b/cmd/bronzerill/crowd_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -126,6 +127,17 @@
 	}
 }
 
+// unfinishedTrailer sends a request with a body in chunks and the start of a trailer, and holds the connection.
+func unfinishedTrailer(path string, body, trailer []byte) behavior {
+	return func(conn net.Conn, _ int, id string) error {
+		head := requestHead(path, id, "Transfer-Encoding: chunked\r\n") + "\r\n"
+		if _, err := conn.Write(slices.Concat([]byte(head), body, trailer)); err != nil {
+			return err
+		}
+		return hold(conn)
+	}
+}
+
 // sendText sends a text, in which ID stands for the ID of the request, and holds the connection.
 func sendText(text string) behavior {
 	return func(conn net.Conn, _ int, id string) error {
@@ -136,6 +148,16 @@
 	}
 }
 
+// chunked returns a number of body bytes in chunks without the last one.
+func chunked(total, chunkBytes int, extension string) []byte {
+	var b bytes.Buffer
+	chunk := strings.Repeat("x", chunkBytes)
+	for n := 0; n < total; n += chunkBytes {
+		fmt.Fprintf(&b, "%x%s\r\n%s\r\n", chunkBytes, extension, chunk)
+	}
+	return b.Bytes()
+}
+
 // target is a process that a crowd calls.
 type target struct {
 	*process
@@ -209,6 +231,32 @@
 	}}
 }
 
+// Guards against clients that send many bodies at once and don't finish them (issue 52).
+func TestUnfinishedBodies(t *testing.T) {
+	const path, length, chunks = "/sound/repeatable/x", "Content-Length: LENGTH\r\n", "Transfer-Encoding: chunked\r\n"
+	legal := make([]byte, legalBody-1)
+	trailer := []byte("0\r\nA: " + strings.Repeat("x", 2000))
+	tests := map[string]struct {
+		clients int
+		behave  behavior
+	}{
+		"whole":             {bodyClients, sendBody(path, length, legal, legalBody)},
+		"piece by piece":    {bodyClients, sendBody(path, length, legal, 1000)},
+		"large chunks":      {bodyClients, sendBody(path, chunks, chunked(legalBody-1<<16, 1<<16, ""), legalBody)},
+		"small chunks":      {bodyClients, sendBody(path, chunks, chunked(512<<10, 8, ""), legalBody)},
+		"smallest chunks":   {bodyClients, sendBody(path, chunks, chunked(512<<10, 1, ""), legalBody)},
+		"extensions":        {bodyClients, sendBody(path, chunks, chunked(512<<10, 64, ";"+strings.Repeat("e", 60)), legalBody)},
+		"trailers":          {bodyClients, unfinishedTrailer(path, chunked(512<<10, 1<<10, ""), trailer)},
+		"many small":        {400, sendBody(path, length, make([]byte, 48<<10), legalBody)},
+		"nothing of a body": {400, sendBody(path, length, nil, 1)},
+		"announced large":   {bodyClients, sendBody(path, "Content-Length: 1073741824\r\n", legal, legalBody)},
+		"sent large":        {bodyClients, sendBody(path, chunks, chunked(16<<20, 1<<16, ""), legalBody)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { startCrowded(t, nil).requireEndures(test.clients, test.behave) })
+	}
+}
+
 // Guards against clients that take all descriptors: with connections on which they send nothing, or nothing more
 // after a request (issue 52).
 func TestIdleConnections(t *testing.T) {
--- a/internal/wire/httpport/count.go
+++ b/internal/wire/httpport/count.go
@@ -31,7 +31,7 @@
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
-	if !b.share.Resize(b.read * b.factor) {
+	if !b.share.Grow(b.read * b.factor) {
 		return 0, bronzerill.Errorf(bronzerill.KindTableFull, "no memory left after %d bytes", b.read)
 	}
 	return n, err
--- a/internal/wire/memory/buffer.go
+++ b/internal/wire/memory/buffer.go
@@ -62,10 +62,10 @@
 	if b.limit > 0 {
 		capacity = max(need, min(capacity, b.limit))
 	}
-	if !b.share.Resize(int64(capacity)) {
+	if !b.share.Grow(int64(capacity)) {
 		// The stated size may be wrong.
 		capacity = max(need, cap(b.data)+cap(b.data)/4)
-		if !b.share.Resize(int64(capacity)) {
+		if !b.share.Grow(int64(capacity)) {
 			return false
 		}
 	}
