Heads of requests count in the memory budget

What callers saw: 400 connections with heads of 60 KB that consist of the shortest possible fields, finished or not, took 398 and 402 MB of a router with 96 MB; heads of 15 KB, which is legal, 121 MB. A process above its memory is killed, and with it all its requests end.

Cause: a head was bounded by itself (64 KB). What net/http makes of it wasn't: a field of 6 bytes takes about 100 in the map of fields, and once more in the copy for the server. It was held as long as the request, and up to 5 s while it arrived.

Ruled out: a lower limit of the head's size: legal heads of 15 KB are enough for the fault.

Change: a port counts each byte of a head four times and each line as 256 bytes, from the first byte to the end of the response. What exceeds 16 KB is taken from the budget of bodies, so that clients that don't finish yield to it. If there is no room, the connection is closed without having read the request. An ordinary head is never counted.

--- a/cmd/bronzerill/crowd_test.go
+++ b/cmd/bronzerill/crowd_test.go
@@ -148,6 +148,15 @@
 	}
 }
 
+// shortFields returns fields of a head, each as short as can be.
+func shortFields(size int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "%x:\r\n", i)
+	}
+	return b.String()
+}
+
 // chunked returns a number of body bytes in chunks without the last one.
 func chunked(total, chunkBytes int, extension string) []byte {
 	var b bytes.Buffer
@@ -257,6 +266,23 @@
 	}
 }
 
+// Guards against long heads of many requests at once, most of all with many fields, which take far more memory than
+// their bytes (issue 52).
+func TestLongHeads(t *testing.T) {
+	const path = "/sound/repeatable/x"
+	tests := map[string]string{
+		"unfinished, many fields": requestHead(path, "ID", shortFields(60<<10)),
+		"unfinished, one field":   requestHead(path, "ID", "A: "+strings.Repeat("x", 60<<10)),
+		"without a body":          requestHead(path, "ID", "Content-Length: 1\r\n"+shortFields(60<<10)) + "\r\n",
+		"legal, without a body":   requestHead(path, "ID", "Content-Length: 1\r\n"+shortFields(15<<10)) + "\r\n",
+	}
+	for name, head := range tests {
+		t.Run(name, func(t *testing.T) {
+			startCrowded(t, nil).requireEndures(400, sendText(head))
+		})
+	}
+}
+
 // Guards against clients that take all descriptors: with connections on which they send nothing, or nothing more
 // after a request (issue 52).
 func TestIdleConnections(t *testing.T) {
--- a/internal/wire/httpport/conn.go
+++ b/internal/wire/httpport/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -63,7 +64,10 @@
 	if deadlineErr := c.setBusy(); deadlineErr != nil {
 		return n, deadlineErr
 	}
-	c.countHead(p[:n])
+	if size := c.countHead(p[:n]); size > usualHeadMemory && !c.head.Grow(size) {
+		metrics.Count(metrics.EventHeadTooLarge)
+		return 0, os.ErrDeadlineExceeded
+	}
 	return n, err
 }
 
