Responses that aren't read end, and give their memory to others

What callers saw: 300 clients that don't read their streams took all 512 descriptors of a router, and so did clients that don't read answers of up to 4 MB (416, at most 384 allowed). By reading: a write to such a client had no end, not even the deadline of the request, so its answer stayed in memory and a call to the server stayed open until the client closed.

Cause: net/http writes without a timeout unless it limits the whole response, which would cut long streams that are sound.

Ruled out: http.Server.WriteTimeout (a limit for the whole response, which a stream may exceed).

Change: a port writes in parts of 64 KB. Each must be taken within the stall timeout (30 s by default, so a client has to read 2 KB a second at least). While a write waits, the connection yields like one whose body is being received. A response that is cut off doesn't look complete: it has a length or chunks, and the connection closes.

--- a/cmd/bronzerill/crowd_test.go
+++ b/cmd/bronzerill/crowd_test.go
@@ -3,13 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,6 +40,8 @@
 	bodyClients = 150
 	// halvings is how many sizes of bodies a crowd sends.
 	halvings = 9
+	// receiveBuffer is the receive buffer of a client of a crowd.
+	receiveBuffer = 4 << 10
 	// crowdPause is how long a client waits before it connects again.
 	crowdPause = 50 * time.Millisecond
 	// crowdTime is how long a crowd lasts before ordinary requests are sent beside it.
@@ -76,7 +82,7 @@
 }
 
 func (c *crowd) connect(ctx context.Context, addr string, use func(conn net.Conn) error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{Control: shrinkReceiveBuffer}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return
@@ -89,6 +95,15 @@
 	_ = use(conn)
 }
 
+// shrinkReceiveBuffer leaves little room for responses that aren't read, so that they stay with their sender.
+func shrinkReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	})
+	return errors.Join(err, optionErr)
+}
+
 // end closes all connections.
 func (c *crowd) end() {
 	c.stop()
@@ -297,3 +312,58 @@
 		})
 	}
 }
+
+// Guards against clients that don't read their responses (issue 52).
+func TestUnreadResponses(t *testing.T) {
+	large := make([]byte, legalBody)
+	events := []byte("data: " + strings.Repeat("x", 1000) + "\n\n")
+	services := func() map[string]http.HandlerFunc {
+		return map[string]http.HandlerFunc{
+			"large": func(w http.ResponseWriter, r *http.Request) {
+				id, _, _ := standin.ReadRequestHeaders(r)
+				standin.Sign(w, id, "s")
+				size, _ := strconv.Atoi(path.Base(r.URL.Path))
+				_, _ = w.Write(large[:size])
+			},
+			"events": func(w http.ResponseWriter, r *http.Request) {
+				id, _, _ := standin.ReadRequestHeaders(r)
+				standin.Sign(w, id, "s")
+				w.Header().Set("Content-Type", "text/event-stream")
+				for sent, err := 0, error(nil); err == nil && sent < 64<<20; sent += len(events) {
+					_, err = w.Write(events)
+				}
+			},
+		}
+	}
+	tests := map[string]struct {
+		clients int
+		path    string
+		body    int
+	}{
+		"large":           {bodyClients, "/large/repeatable/", 0},
+		"large, with one": {bodyClients, "/large/repeatable/", ordinaryBody},
+		"stream":          {300, "/events/stream/", 0},
+		"resumable":       {300, "/events/resumable/", 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			startCrowded(t, services()).requireEndures(test.clients, func(conn net.Conn, client int, id string) error {
+				head := requestHead(fmt.Sprint(test.path, len(large)>>(client%halvings)), id, fmt.Sprintf("Content-Length: %d\r\n", test.body)) + "\r\n"
+				if _, err := conn.Write(append([]byte(head), make([]byte, test.body)...)); err != nil {
+					return err
+				}
+				start := make([]byte, len("HTTP/1.1 200"))
+				if _, err := io.ReadFull(conn, start); err != nil || !strings.HasSuffix(string(start), "200") {
+					return err
+				}
+				// The router closes the connection at some time, which ends a write.
+				for {
+					if _, err := conn.Write([]byte("x")); err != nil {
+						return err
+					}
+					time.Sleep(crowdPause)
+				}
+			})
+		})
+	}
+}
--- a/internal/wire/httpport/conn.go
+++ b/internal/wire/httpport/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/memory"
 )
@@ -20,6 +22,9 @@
 	usualHeadMemory = 16 << 10
 )
 
+// writeBytes is the part of a response that a client has to read within the stall timeout.
+const writeBytes = 64 << 10
+
 // portConn is an accepted connection.
 type portConn struct {
 	*net.TCPConn
@@ -37,6 +42,8 @@
 	released bool
 	// refused is set once no more of the body of the request is to be read.
 	refused bool
+	// cut is set once nothing more of the response is to be sent.
+	cut bool
 	// inHead is set until the head of a request has been read. headMemory is what that takes so far.
 	inHead     bool
 	headMemory int64
@@ -71,6 +78,48 @@
 	return n, err
 }
 
+// Write writes a part of a response. It fails if the client doesn't read it, or if the connection yields meanwhile.
+func (c *portConn) Write(p []byte) (int, error) {
+	before, _ := c.transfer.Phase()
+	c.transfer.Begin(c.cfg.Clock(), memory.PhaseSending)
+	defer func() { c.transfer.Begin(c.cfg.Clock(), before) }()
+	written := 0
+	for written < len(p) {
+		if err := c.limitWrite(c.cfg.Clock().Add(c.cfg.StallTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(p[written:min(len(p), written+writeBytes)])
+		written += n
+		c.transfer.Progress(c.cfg.Clock(), n)
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.transfer.Yielded() {
+			metrics.Count(metrics.EventResponseStalled)
+		}
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// limitWrite limits the next write.
+func (c *portConn) limitWrite(until time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut {
+		return os.ErrDeadlineExceeded
+	}
+	return c.TCPConn.SetWriteDeadline(until)
+}
+
+// cutResponse makes writes fail.
+func (c *portConn) cutResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = true
+	// If this fails, the connection is closed already.
+	_ = c.TCPConn.SetWriteDeadline(c.acceptedAt)
+}
+
 // setBusy is called when bytes of a request have arrived.
 func (c *portConn) setBusy() error {
 	c.mu.Lock()
@@ -183,6 +232,9 @@
 	case memory.PhaseBody:
 		c.refuseBody()
 		return counted(metrics.EventYieldedBody)
+	case memory.PhaseSending:
+		c.cutResponse()
+		return counted(metrics.EventYieldedResponse)
 	}
 	return false
 }
