Refusals don't wait for the rest of a body

What callers saw: a request whose body didn't end got no answer, also if it had been refused already: 6 of 7 kinds in 20 s each (unknown routes with a length or chunks, short and long, bodies that stop at a known route). Its connection and goroutine stayed until the client closed.

Cause: before net/http writes a response to a request whose body wasn't read, it reads up to 256 KB of the rest, without a deadline.

Ruled out: closing all connections of refused requests at once: a legal client that is still sending would lose its answer to a reset.

Change: once a handler has returned, a port gives the rest of a body one second. Then the response is written and the connection closed.

--- a/cmd/bronzerill/crowd_test.go
+++ b/cmd/bronzerill/crowd_test.go
@@ -367,3 +367,30 @@
 		})
 	}
 }
+
+// Guards against requests that wait without end for the rest of their body (issue 52).
+func TestUnfinishedBodyIsAnswered(t *testing.T) {
+	tests := map[string]struct{ path, fields, body string }{
+		"length":              {"/sound/repeatable/x", "Content-Length: 10\r\n", "123"},
+		"chunks":              {"/sound/repeatable/x", "Transfer-Encoding: chunked\r\n", "5\r\n123"},
+		"stream":              {"/sound/stream/x", "Content-Length: 10\r\n", "123"},
+		"unknown route":       {"/none/x", "Content-Length: 10\r\n", "123"},
+		"unknown, chunks":     {"/none/x", "Transfer-Encoding: chunked\r\n", "5\r\n123"},
+		"large, unknown":      {"/none/x", "Content-Length: 100000\r\n", strings.Repeat("x", 99_999)},
+		"announced too large": {"/sound/repeatable/x", "Content-Length: 1000000000\r\n", "123"},
+	}
+	p := startCrowded(t, nil)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", p.addr)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, requestHead(test.path, "unfinished-"+name, test.fields)+"\r\n"+test.body)
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+			answer, err := io.ReadAll(conn)
+			require.NoError(t, err, "the router closes the connection; it sent %q", answer)
+			require.Regexp(t, `^HTTP/1.1 (404|408|413|503) `, string(answer), "a refusal that is true: nothing has run")
+		})
+	}
+}
--- a/internal/wire/httpport/body.go
+++ b/internal/wire/httpport/body.go
@@ -13,6 +13,10 @@
 	"bronzerill/internal/wire/memory"
 )
 
+// unreadTimeout is how long the http.Server may wait for the rest of a body that the handler didn't read, so that the
+// connection can be used again.
+const unreadTimeout = time.Second
+
 // body is the body of a request. A read waits for the client no longer than the limits of its port allow.
 type body struct {
 	io.ReadCloser
@@ -34,8 +38,11 @@
 			return
 		}
 		b := &body{ReadCloser: r.Body, conn: conn}
-		r.Body = b
-		next.ServeHTTP(w, r)
+		defer b.limitRest()
+		// The http.Server looks at the type of its own request's body.
+		bounded := r.WithContext(r.Context())
+		bounded.Body = b
+		next.ServeHTTP(w, bounded)
 	})
 }
 
@@ -92,3 +99,10 @@
 	}
 	return n, err
 }
+
+// limitRest limits how long the http.Server waits for what was not read of the body.
+func (b *body) limitRest() {
+	if !b.ended {
+		b.conn.limitBodyRead(b.conn.cfg.Clock().Add(unreadTimeout))
+	}
+}
