Ports: clients that were served before keep their connections the longest

Cause: a full port made idle connections yield, such as those of the entries, while connections whose refusal had just been written waited for 500 ms before net/http closes them; and the connection that was accepted last, if no other was idle, before its request was read.

Change: connections yield in ranks: after their last response (from 50 ms on, so that it can be read), stalled within a request, unused for 200 ms, idle between two requests, active. While some are about to be closed, those of lower ranks are left alone. A connection that is closed early counts separately until net/http has ended, as many at most as may be open.

TestStalledClientsYieldBeforeIdleOnes has a case for each rank.

--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -69,6 +69,7 @@
 	EventYieldedHead      Event = "connection-yielded-head"
 	EventYieldedBody      Event = "connection-yielded-body"
 	EventYieldedResponse  Event = "connection-yielded-answer"
+	EventYieldedClosing   Event = "connection-yielded-closing"
 	EventHeadTooLarge     Event = "head-without-memory"
 	EventBodyStalled      Event = "body-stalled"
 	EventResponseStalled  Event = "answer-stalled"
--- a/internal/wire/exchange/message.go
+++ b/internal/wire/exchange/message.go
@@ -175,6 +175,10 @@
 	var open Open
 	limited := &io.LimitedReader{R: r, N: maxOpenBytes}
 	if err := msgpack.NewDecoder(limited).Decode(&open); err != nil {
+		if kind := bronzerill.KindOf(err); kind != bronzerill.KindInternal {
+			// The body can't be read now, whatever it holds.
+			return Open{}, err
+		}
 		return Open{}, bronzerill.Errorf(bronzerill.KindBadRequest, "decode exchange: %v", err)
 	}
 	if len(open.Body) > MaxBodyBytes {
--- a/internal/wire/httpport/conn.go
+++ b/internal/wire/httpport/conn.go
@@ -42,6 +42,8 @@
 	released bool
 	// refused is set once no more of the body of the request is to be read.
 	refused bool
+	// served is set after the first response after which the connection may be used again.
+	served bool
 	// cut is set once nothing more of the response is to be sent.
 	cut bool
 	// inHead is set until the head of a request has been read. headMemory is what that takes so far.
@@ -176,10 +178,25 @@
 	c.head.Free()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.inHead = false, true
+	c.busy, c.inHead, c.served = false, true, true
 	c.transfer.Begin(now, memory.PhaseIdle)
 }
 
+// CloseWrite is called after the last response, if the client may still be sending: the http.Server closes the connection
+// after a while, so that the client can read the response first.
+func (c *portConn) CloseWrite() error {
+	c.head.Free()
+	c.transfer.Begin(c.cfg.Clock(), memory.PhaseClosing)
+	return c.TCPConn.CloseWrite()
+}
+
+// wasServed reports whether the client has had a response on the connection.
+func (c *portConn) wasServed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.served
+}
+
 // isGone reports whether the connection was closed before the head of the request had been read.
 func (c *portConn) isGone() bool {
 	c.mu.Lock()
@@ -235,6 +252,10 @@
 	case memory.PhaseSending:
 		c.cutResponse()
 		return counted(metrics.EventYieldedResponse)
+	case memory.PhaseClosing:
+		// If this fails, the connection is closed already.
+		_ = c.TCPConn.Close()
+		return counted(metrics.EventYieldedClosing)
 	}
 	return false
 }
--- a/internal/wire/httpport/limit.go
+++ b/internal/wire/httpport/limit.go
@@ -13,6 +13,11 @@
 	reservePercent = 12
 	// stallGrace is how long a client may pause within a request or response before it yields before idle ones.
 	stallGrace = time.Second
+	// unusedGrace is how long a client may take from a new connection to its first request before it yields before
+	// idle ones.
+	unusedGrace = 200 * time.Millisecond
+	// closingGrace is how long a client that is still sending gets to read the last response.
+	closingGrace = 50 * time.Millisecond
 	// retryInterval is the time between two tries to make room while the port is full.
 	retryInterval = 50 * time.Millisecond
 )
@@ -44,14 +49,29 @@
 			remaining = append(remaining, c)
 		}
 	}
-	open := len(p.conns)
 	p.mu.Unlock()
 	if len(remaining) >= p.cfg.MaxConns-p.cfg.MaxConns*reservePercent/100 {
-		if c := firstToYield(now, remaining); c != nil {
-			c.transfer.Yield()
+		if c := firstToYield(now, remaining); c != nil && c.transfer.Yield() {
+			p.noteYield(c)
 		}
 	}
-	return open < p.cfg.MaxConns
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) < p.cfg.MaxConns && len(p.lingering) < p.cfg.MaxConns
+}
+
+// noteYield notes that a connection was made to yield. One that was closed for it takes no descriptor any more, though the
+// http.Server waits for a while.
+func (p *Port) noteYield(c *portConn) {
+	if phase, _ := c.transfer.Phase(); phase != memory.PhaseClosing {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, open := p.conns[c]; open {
+		delete(p.conns, c)
+		p.lingering[c] = struct{}{}
+	}
 }
 
 // signalRoom wakes awaitRoom.
@@ -62,21 +82,65 @@
 	}
 }
 
-// firstToYield returns the connection that yields first, nil if none can: of those whose clients have stalled within a request
-// or response the one that has for longest, then the one that has waited longest.
+// yieldRank says which connections yield before others.
+type yieldRank int
+
+// The ranks, the first one first.
+const (
+	// rankClosing is a connection on which nothing follows.
+	rankClosing yieldRank = iota
+	// rankStalled is one whose client has stalled within a request or response.
+	rankStalled
+	// rankUnused is one on which no request came soon.
+	rankUnused
+	// rankLast is one whose last response was just written. It yields soon, so others wait for it rather than take one
+	// of the ranks below.
+	rankLast
+	// rankIdle is one between two requests.
+	rankIdle
+	// rankActive is one whose client sends or reads.
+	rankActive
+	// rankWorking is one whose request is being worked on.
+	rankWorking
+)
+
+// yields reports whether connections of a rank can be made to yield.
+func (r yieldRank) yields() bool { return r != rankLast && r != rankWorking }
+
+// rank returns the rank of a connection, and since when its client has made no progress.
+func (c *portConn) rank(now time.Time) (yieldRank, time.Time) {
+	phase, since := c.transfer.Phase()
+	age := now.Sub(since)
+	switch {
+	case phase == memory.PhaseWorking:
+		return rankWorking, since
+	case phase == memory.PhaseClosing && age < closingGrace:
+		return rankLast, since
+	case phase == memory.PhaseClosing:
+		return rankClosing, since
+	case phase == memory.PhaseIdle && c.wasServed():
+		return rankIdle, since
+	case phase == memory.PhaseIdle && age > unusedGrace:
+		return rankUnused, since
+	case age > stallGrace:
+		return rankStalled, since
+	}
+	return rankActive, since
+}
+
+// firstToYield returns the connection that yields first, nil if none can at present: of those of the first rank the one whose
+// client has made no progress for longest.
 func firstToYield(now time.Time, conns []*portConn) *portConn {
 	var first *portConn
-	var firstStalled bool
-	var firstSince time.Time
+	firstRank, firstSince := rankWorking, time.Time{}
 	for _, c := range conns {
-		phase, since := c.transfer.Phase()
-		if phase == memory.PhaseWorking {
-			continue
-		}
-		stalled := phase != memory.PhaseIdle && now.Sub(since) > stallGrace
-		if first == nil || stalled && !firstStalled || stalled == firstStalled && since.Before(firstSince) {
-			first, firstStalled, firstSince = c, stalled, since
+		rank, since := c.rank(now)
+		if first == nil || rank < firstRank || rank == firstRank && since.Before(firstSince) {
+			first, firstRank, firstSince = c, rank, since
 		}
 	}
+	if !firstRank.yields() {
+		return nil
+	}
 	return first
 }
--- a/internal/wire/httpport/limit_test.go
+++ b/internal/wire/httpport/limit_test.go
@@ -109,7 +109,7 @@
 	now := time.Unix(1000, 0)
 	budget := memory.NewBudget(1 << 20)
 	conn := func(phase memory.Phase, age time.Duration) *portConn {
-		c := &portConn{transfer: budget.NewTransfer(now.Add(-age), func(memory.Phase) bool { return true })}
+		c := &portConn{served: true, transfer: budget.NewTransfer(now.Add(-age), func(memory.Phase) bool { return true })}
 		c.transfer.Begin(now.Add(-age), phase)
 		return c
 	}
@@ -117,12 +117,21 @@
 	idle, older := conn(memory.PhaseIdle, time.Minute), conn(memory.PhaseIdle, 2*time.Minute)
 	body, head := conn(memory.PhaseBody, 2*stallGrace), conn(memory.PhaseHead, 3*stallGrace)
 	active := conn(memory.PhaseSending, stallGrace/2)
+	unused, fresh := conn(memory.PhaseIdle, 2*unusedGrace), conn(memory.PhaseIdle, unusedGrace/2)
+	unused.served, fresh.served = false, false
+	lastAnswer := conn(memory.PhaseClosing, closingGrace/2)
+	closing := conn(memory.PhaseClosing, closingGrace)
 	tests := []struct {
 		name  string
 		conns []*portConn
 		first *portConn
 	}{
 		{"none", nil, nil},
+		{"closing", []*portConn{work, older, unused, body, closing, head, active}, closing},
+		{"closing just now", []*portConn{work, lastAnswer, idle, fresh, active}, nil},
+		{"new", []*portConn{work, idle, fresh, active}, idle},
+		{"stalled, closing just now", []*portConn{work, lastAnswer, body, active}, body},
+		{"unused", []*portConn{work, older, unused, active}, unused},
 		{"only work", []*portConn{work}, nil},
 		{"stalled longest", []*portConn{work, older, idle, body, head, active}, head},
 		{"stalled", []*portConn{work, older, idle, body, active}, body},
--- a/internal/wire/httpport/port.go
+++ b/internal/wire/httpport/port.go
@@ -67,6 +67,8 @@
 	closeErr  error
 	mu        sync.Mutex
 	conns     map[*portConn]struct{}
+	// lingering holds connections that were closed while the http.Server still waits before it closes them.
+	lingering map[*portConn]struct{}
 	// roomMade has an element after a connection was closed, and closed is closed with the port.
 	roomMade chan struct{}
 	closed   chan struct{}
@@ -82,7 +84,7 @@
 	if !ok {
 		return nil, errors.Errorf("listener of type %T", listener)
 	}
-	return &Port{TCPListener: tcp, cfg: cfg.withDefaults(), conns: make(map[*portConn]struct{}), roomMade: make(chan struct{}, 1), closed: make(chan struct{})}, nil
+	return &Port{TCPListener: tcp, cfg: cfg.withDefaults(), conns: make(map[*portConn]struct{}), lingering: make(map[*portConn]struct{}), roomMade: make(chan struct{}, 1), closed: make(chan struct{})}, nil
 }
 
 // connKey is the context key of a request's connection.
@@ -163,6 +165,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		delete(p.conns, c)
+		delete(p.lingering, c)
 		metrics.ConnectionClosed(p.cfg.Name)
 		p.signalRoom()
 	case http.StateNew:
--- a/internal/wire/memory/transfer.go
+++ b/internal/wire/memory/transfer.go
@@ -22,6 +22,8 @@
 	PhaseWorking
 	// PhaseSending is while the client is to read a response.
 	PhaseSending
+	// PhaseClosing lasts from the last response until the connection is closed.
+	PhaseClosing
 )
 
 // progressBytes is what a client has to send or read before that counts as progress. Single bytes don't.
