Entries, agents and operators' ports keep to the memory of their process

What callers saw: 350 clients that sent 1 MB to an entry and stopped just short of the end took 116 MB (whole) and 125 MB (small chunks), far too large bodies 141 MB, heads of 28 KB with short fields 259 MB, of a process that may have 96. Unfinished requests without a key, and small ones, took 512 and 413 of 512 descriptors. Unused connections and long heads at an agent's port left no descriptor: no booking in 20 s.

Cause: these processes had no budget. Bodies were bounded one by one (1 MB at entries and agents, 4 MB at operators' ports), and nothing bounded their number.

Change: [limits] memory-mb also holds for entries, agents and control replicas. Entries count the body of a request, and the message to an agent that holds it once more, as long as the request lasts; agents count exchanges twice and imported caches once, operators' ports each body twice. All their ports have the limits of connections, heads, stalled bodies and unread responses. A body that can't be read for lack of memory is refused as not run: by agents in a frame, so that the entry tries the next server, not as a bad request. Connections end after 2 minutes without a request.

--- /dev/null
+++ b/cmd/bronzerill/entrycrowd_test.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzerill/internal/entry/caller"
+	"bronzerill/internal/standin/booking"
+)
+
+const (
+	apiKey = "api-key-of-the-customer"
+	// entryLegalBody is the largest body that callers may send to an entry.
+	entryLegalBody = 1 << 20
+	bookingsPath   = "/v1/services/desk/bookings"
+	bookingFields  = "Authorization: Bearer " + apiKey + "\r\nIdempotency-Key: ID\r\n"
+)
+
+// entryFleet is a small fleet of processes with a booking server of this test.
+type entryFleet struct {
+	t               *testing.T
+	program, folder string
+	control         string
+	operators       map[string]string
+}
+
+// settings writes a settings file and returns its path.
+func (f *entryFleet) settings(name, sections string) (path string) {
+	path = filepath.Join(f.folder, name+".toml")
+	f.operators[name] = freeAddr(f.t)
+	text := fmt.Sprintf("name = %q\nzone = \"gramado\"\nsecret-file = %q\ncontrol-replicas = [%q]\n%s[operator]\nlisten = %q\nsecret-file = %q\n",
+		name, f.file("fleet.secret"), f.control, sections, f.operators[name], f.file("operator.secret"))
+	require.NoError(f.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func (f *entryFleet) file(name string) string { return filepath.Join(f.folder, name) }
+
+// run runs a command to its end.
+func (f *entryFleet) run(args ...string) error {
+	output, err := exec.Command(f.program, args...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("%v: %w: %s", args, err, output)
+	}
+	return nil
+}
+
+// startEntry starts a control replica, an agent with a booking server, and an entry with the limits of a crowd's
+// target, and returns the latter two.
+func startEntry(t *testing.T) (entry, agent *target) {
+	f := &entryFleet{t: t, program: buildProgram(t), folder: t.TempDir(), control: freeAddr(t), operators: make(map[string]string)}
+	for _, name := range []string{"fleet.secret", "operator.secret"} {
+		require.NoError(t, os.WriteFile(f.file(name), []byte(name+" of this test"), 0o600))
+	}
+	control := f.settings("control", fmt.Sprintf("[control]\nlisten = %q\ndata-folder = %q\n", f.control, f.file("data")))
+	require.NoError(t, f.run("init", "--settings", control, "--replica", "control="+f.control))
+	startProcess(t, 0, f.program, "run", "--settings", control)
+	ticket := "number = 1\n[[zone]]\nname = \"gramado\"\n[[pool]]\nname = \"desk\"\nkind = \"service\"\nload-multiple = 1.5\nslots = 64\nfloor-slots = 64\ncold-slots = 64\nramp-step = 1\n" +
+		fmt.Sprintf("[[customer]]\nname = \"hotel\"\nkey-hash = %q\nweight = 1\n", caller.KeyHash(apiKey)) +
+		"[[policy]]\nname = \"desk\"\npool = \"desk\"\nspill-hops = 3\nqueue-timeout-ms = 2000\n"
+	require.NoError(t, os.WriteFile(f.file("ticket.toml"), []byte(ticket), 0o600))
+	require.Eventually(t, func() bool {
+		return f.run("ticket", "submit", "--operator", f.operators["control"], "--secret-file", f.file("operator.secret"), f.file("ticket.toml")) == nil
+	}, patience, crowdPause, "the ticket is accepted")
+
+	limits := fmt.Sprintf("[limits]\nmemory-mb = %d\n", crowdMemoryMB)
+	server := serve(t, booking.NewServer(0).Handler().ServeHTTP)
+	agentAddr, entryAddr := freeAddr(t), freeAddr(t)
+	agentSettings := f.settings("agent", limits+fmt.Sprintf("[agent]\nlisten = %q\nserver = \"server-1\"\npool = \"desk\"\nkind = \"service\"\nbackend = \"http://%s\"\n", agentAddr, server))
+	entrySettings := f.settings("entry", limits+fmt.Sprintf("[entry]\nlisten = %q\nbalancer-delay = \"1s\"\n", entryAddr))
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var lastKey atomic.Int64
+	call := func(body io.Reader) int {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+entryAddr+bookingsPath, body)
+		require.NoError(t, err)
+		request.Header.Set("Authorization", "Bearer "+apiKey)
+		request.Header.Set("Idempotency-Key", fmt.Sprint("ordinary-", lastKey.Add(1)))
+		response, err := client.Do(request)
+		if err != nil {
+			return 0
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusCreated {
+			return http.StatusOK
+		}
+		return response.StatusCode
+	}
+	entry = &target{process: startProcess(t, crowdDescriptors, f.program, "run", "--settings", entrySettings), addr: entryAddr, call: call, legalBody: entryLegalBody}
+	agent = &target{process: startProcess(t, crowdDescriptors, f.program, "run", "--settings", agentSettings), addr: agentAddr, call: call, legalBody: entryLegalBody}
+	require.Eventually(t, func() bool { return call(strings.NewReader("{}")) == http.StatusOK }, patience, crowdPause, "the first booking")
+	return entry, agent
+}
+
+// Guards against clients of an entry that send many bodies at once and don't finish them, or hold its connections
+// (issue 52).
+func TestEntryEnduresCrowds(t *testing.T) {
+	const length, chunks = bookingFields + "Content-Length: LENGTH\r\n", bookingFields + "Transfer-Encoding: chunked\r\n"
+	legal := make([]byte, entryLegalBody-1)
+	tests := map[string]struct {
+		clients int
+		behave  behavior
+	}{
+		"whole":             {350, sendBody(bookingsPath, length, legal, entryLegalBody)},
+		"small chunks":      {350, sendBody(bookingsPath, chunks, chunked(1<<20, 8, ""), entryLegalBody)},
+		"nothing of a body": {400, sendBody(bookingsPath, bookingFields+"Content-Length: 100\r\n", nil, 1)},
+		"sent large":        {bodyClients, sendBody(bookingsPath, chunks, chunked(16<<20, 1<<16, ""), entryLegalBody)},
+		"long heads":        {400, sendBody(bookingsPath, bookingFields+"Content-Length: 1\r\n"+shortFields(28<<10), nil, 1)},
+		"without a key":     {400, sendBody(bookingsPath, "Content-Length: LENGTH\r\n", legal, entryLegalBody)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			entry, _ := startEntry(t)
+			entry.requireEndures(test.clients, test.behave)
+		})
+	}
+}
+
+// Guards against connections to an agent that take its memory or its descriptors (issue 52).
+func TestAgentEnduresCrowds(t *testing.T) {
+	tests := map[string]string{
+		"unused":        "",
+		"long heads":    "POST /v1/exchange HTTP/1.1\r\nHost: h\r\n" + shortFields(60<<10),
+		"without a key": "POST /v1/exchange HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 900_000),
+	}
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, agent := startEntry(t)
+			agent.requireEndures(crowdDescriptors+100, sendText(sent))
+		})
+	}
+}
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -18,11 +18,19 @@
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/httpport"
+	"bronzerill/internal/wire/memory"
 )
 
 // expireInterval is the pause between calls of table.expire.
 const expireInterval = 500 * time.Millisecond
 
+// defaultMemory is what the bodies of requests may take in bytes unless the configuration says otherwise.
+const defaultMemory = 256 << 20
+
+// openBodyFactor is what an exchange takes, as a multiple of its body: the request and what is decoded of it.
+const openBodyFactor = 2
+
 // maxCacheBytes limits the size of the KV cache of one chat.
 const maxCacheBytes = 64 << 20
 
@@ -73,6 +81,8 @@
 	Log   hclog.Logger
 	// Generation returns the generation of the agent process.
 	Generation func() uint64
+	// Memory is what the bodies of all requests may take. The default is defaultMemory.
+	Memory *memory.Budget
 	// Pool and Zone are those of the backend server.
 	Pool string
 	Zone string
@@ -91,6 +101,9 @@
 
 // NewServer returns a server. Its exchanges run in the group until ctx ends.
 func NewServer(ctx context.Context, group *errgroup.Group, cfg ServerConfig) *Server {
+	if cfg.Memory == nil {
+		cfg.Memory = memory.NewBudget(defaultMemory)
+	}
 	return &Server{
 		cfg:   cfg,
 		table: newTable(),
@@ -123,9 +136,12 @@
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+exchange.PathOpen, s.serveOpen)
-	mux.HandleFunc("POST "+exchange.PathCancel, s.serveCancel)
-	mux.HandleFunc("POST "+exchange.PathCache+"{chat}", s.serveCache)
+	count := func(factor int64, next http.HandlerFunc) http.Handler {
+		return httpport.CountBodies(s.cfg.Memory, factor, next)
+	}
+	mux.Handle("POST "+exchange.PathOpen, count(openBodyFactor, s.serveOpen))
+	mux.Handle("POST "+exchange.PathCancel, count(openBodyFactor, s.serveCancel))
+	mux.Handle("POST "+exchange.PathCache+"{chat}", count(1, s.serveCache))
 	return mux
 }
 
@@ -179,12 +195,16 @@
 		return
 	}
 	o, err := exchange.DecodeOpen(r.Body)
-	if err != nil {
-		http.Error(w, err.Error(), bronzerill.KindOf(err).Response().Status)
+	kind := bronzerill.KindOf(err)
+	if kind == bronzerill.KindBadRequest || kind == bronzerill.KindBodyTooLarge {
+		http.Error(w, err.Error(), kind.Response().Status)
 		return
 	}
 	stream := &stream{encoder: exchange.NewEncoder(w), flusher: http.NewResponseController(w), clock: s.cfg.Clock}
-	resp, err := s.open(o)
+	var resp *response
+	if err == nil {
+		resp, err = s.open(o)
+	}
 	if err != nil {
 		metrics.Refused(bronzerill.KindOf(err))
 		s.cfg.Log.Debug("request refused", "request", o.ID.Request, "attempt", o.ID.Attempt, "kind", bronzerill.KindOf(err).String())
--- a/internal/entry/agent/client.go
+++ b/internal/entry/agent/client.go
@@ -30,6 +30,8 @@
 	maxIdleConns   = 256
 	idleTimeout    = 30 * time.Second
 	maxErrorBytes  = 4 << 10
+	// openOverhead is what an encoded exchange mostly takes besides its body.
+	openOverhead = 1 << 10
 )
 
 // errConnectionLost means that the connection to the agent closed or went silent
@@ -270,6 +272,7 @@
 
 func (c *Client) post(ctx context.Context, client *http.Client, addr, path string, open exchange.Open) (*http.Response, error) {
 	var body bytes.Buffer
+	body.Grow(len(open.Body) + openOverhead)
 	if err := exchange.NewEncoder(&body).Encode(&open); err != nil {
 		return nil, errors.Wrap(err, "encode request")
 	}
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -7,13 +7,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 
 	"bronzerill"
 	"bronzerill/internal/control/state"
@@ -50,18 +48,6 @@
 	CacheKey string `json:"prompt_cache_key"`
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, exchange.MaxBodyBytes))
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, bronzerill.Errorf(bronzerill.KindBodyTooLarge, "body is larger than %d bytes", exchange.MaxBodyBytes)
-	}
-	return nil, bronzerill.Errorf(bronzerill.KindBadRequest, "read body: %v", err)
-}
-
 func parseChat(body []byte) (chatBody, error) {
 	var c chatBody
 	if err := json.Unmarshal(body, &c); err != nil {
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -18,6 +18,8 @@
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
 	"bronzerill/internal/wire/httpabort"
+	"bronzerill/internal/wire/httpport"
+	"bronzerill/internal/wire/memory"
 )
 
 // Paths of the API.
@@ -39,6 +41,8 @@
 	Log       hclog.Logger
 	// Secret is the key that signs hints.
 	Secret string
+	// Memory is what the bodies of all requests may take. The default is defaultMemory.
+	Memory *memory.Budget
 }
 
 // Server serves callers over HTTP. It is safe for concurrent use.
@@ -49,6 +53,9 @@
 
 // NewServer returns a server.
 func NewServer(cfg ServerConfig) *Server {
+	if cfg.Memory == nil {
+		cfg.Memory = memory.NewBudget(defaultMemory)
+	}
 	return &Server{cfg: cfg, hintSigner: hintSigner{secret: []byte(cfg.Secret)}}
 }
 
@@ -71,7 +78,9 @@
 		id := uuid.NewString()
 		w.Header().Set(HeaderRequest, id)
 		metrics.Count(metrics.EventRequest)
-		request, timeout, err := s.parseRequest(w, r, id, parse)
+		body := s.newRequestBody(r)
+		defer body.free()
+		request, timeout, err := s.parseRequest(r, id, body, parse)
 		if err != nil {
 			s.refuse(w, id, err)
 			return
@@ -84,7 +93,7 @@
 	}
 }
 
-func (s *Server) parseRequest(w http.ResponseWriter, r *http.Request, id string, parse requestParser) (agent.Request, time.Duration, error) {
+func (s *Server) parseRequest(r *http.Request, id string, body *requestBody, parse requestParser) (agent.Request, time.Duration, error) {
 	view := s.cfg.View()
 	if !view.HasLease(s.cfg.Clock()) {
 		return agent.Request{}, 0, bronzerill.Errorf(bronzerill.KindLeaseLapsed, "this entry has no valid lease")
@@ -101,11 +110,11 @@
 	if err != nil {
 		return agent.Request{}, 0, err
 	}
-	body, err := readBody(w, r)
-	if err != nil {
+	httpport.SetBodyDeadline(r, s.cfg.Clock().Add(timeout))
+	if err := body.read(r); err != nil {
 		return agent.Request{}, 0, err
 	}
-	request, err := parse(view.Config, r, customer, body)
+	request, err := parse(view.Config, r, customer, body.Bytes())
 	if err != nil {
 		return agent.Request{}, 0, err
 	}
@@ -116,7 +125,7 @@
 	request.Open.Method = r.Method
 	request.Open.ContentType = r.Header.Get("Content-Type")
 	request.Open.Priority = priority
-	request.Open.Body = body
+	request.Open.Body = body.Bytes()
 	return request, timeout, nil
 }
 
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -19,6 +19,7 @@
 	"bronzerill/internal/agent/entry"
 	"bronzerill/internal/agent/service"
 	"bronzerill/internal/control/state"
+	"bronzerill/internal/run/limits"
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
@@ -28,6 +29,7 @@
 // Timing of the role.
 const (
 	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
 	pollInterval      = 200 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
 	// leavingDelay is the time until entries know that the server leaves: one renewal of the
@@ -41,6 +43,7 @@
 	Settings file.Settings
 	Secret   string
 	Client   *wire.Client
+	Limits   limits.Limits
 	Log      hclog.Logger
 }
 
@@ -72,7 +75,7 @@
 // Start listens on the entries' port and registers the process in the background.
 func Start(ctx context.Context, group *errgroup.Group, cfg Config) (*Role, error) {
 	settings := *cfg.Settings.Agent
-	port, err := httpport.Listen(settings.Listen, httpport.Config{})
+	port, err := httpport.Listen(settings.Listen, cfg.Limits.CallerPort("agent.listen"))
 	if err != nil {
 		return nil, errors.Wrap(err, "agent.listen")
 	}
@@ -106,6 +109,7 @@
 		Pool:        settings.Pool,
 		Zone:        cfg.Settings.Zone,
 		ImportCache: r.cacheImporter(),
+		Memory:      cfg.Limits.Memory,
 	})
 	r.serve(ctx)
 	group.Go(func() error { return r.server.Run(ctx) })
@@ -173,7 +177,7 @@
 
 func (r *Role) serve(ctx context.Context) {
 	handler := httpport.CloseWhen(r.draining.Load, r.server.Handler())
-	httpServer := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	httpServer := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	r.group.Go(func() error { return errors.Wrap(r.port.Serve(httpServer), "serve entries' port") })
 	r.group.Go(func() error {
 		<-ctx.Done()
--- a/internal/run/entry/role.go
+++ b/internal/run/entry/role.go
@@ -15,6 +15,7 @@
 
 	"bronzerill/internal/entry/agent"
 	"bronzerill/internal/entry/caller"
+	"bronzerill/internal/run/limits"
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
@@ -35,6 +36,7 @@
 	Settings file.Settings
 	Secret   string
 	Client   *wire.Client
+	Limits   limits.Limits
 	Log      hclog.Logger
 }
 
@@ -48,7 +50,7 @@
 
 // Start listens on the callers' port and begins to renew the lease.
 func Start(ctx context.Context, group *errgroup.Group, cfg Config) (*Role, error) {
-	port, err := httpport.Listen(cfg.Settings.Entry.Listen, httpport.Config{})
+	port, err := httpport.Listen(cfg.Settings.Entry.Listen, cfg.Limits.CallerPort("entry.listen"))
 	if err != nil {
 		return nil, errors.Wrap(err, "entry.listen")
 	}
@@ -80,6 +82,7 @@
 		Clock:     time.Now,
 		Log:       cfg.Log,
 		Secret:    cfg.Secret,
+		Memory:    cfg.Limits.Memory,
 	})
 	r := &Role{settings: *cfg.Settings.Entry, renewer: renewer, port: port}
 	httpServer := &http.Server{
--- a/internal/run/process/process.go
+++ b/internal/run/process/process.go
@@ -18,6 +18,7 @@
 	"bronzerill/internal/run/agent"
 	"bronzerill/internal/run/control"
 	"bronzerill/internal/run/entry"
+	"bronzerill/internal/run/limits"
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
@@ -29,6 +30,11 @@
 const (
 	// readHeaderTimeout is the time allowed to read the headers of a request.
 	readHeaderTimeout = 5 * time.Second
+	// idleTimeout is how long a connection may stay open between two requests.
+	idleTimeout = 2 * time.Minute
+	// operatorBodyFactor is what a call of an operator takes, as a multiple of its body: the body and the
+	// command with it.
+	operatorBodyFactor = 2
 	// operatorDrainTimeout is how long a stopping process waits for operators' requests.
 	operatorDrainTimeout = 5 * time.Second
 )
@@ -54,7 +60,11 @@
 	workCtx, cancelWork := context.WithCancel(ctx)
 	defer cancelWork()
 	group, workCtx := errgroup.WithContext(workCtx)
-	p := &process{settings: s, secret: secret, log: log, group: group}
+	processLimits, err := limits.Apply(s)
+	if err != nil {
+		return err
+	}
+	p := &process{settings: s, secret: secret, log: log, group: group, limits: processLimits}
 	if err := p.start(workCtx); err != nil {
 		cancelWork()
 		return firstError(err, group.Wait())
@@ -85,6 +95,7 @@
 	secret   string
 	log      hclog.Logger
 	group    *errgroup.Group
+	limits   limits.Limits
 	operator *server.Server
 	// operatorPort is nil without an operator port.
 	operatorPort *httpport.Port
@@ -96,14 +107,14 @@
 func (p *process) start(ctx context.Context) error {
 	client := p.client()
 	if p.settings.Entry != nil {
-		role, err := entry.Start(ctx, p.group, entry.Config{Settings: p.settings, Secret: p.secret, Client: client, Log: p.log.Named("entry")})
+		role, err := entry.Start(ctx, p.group, entry.Config{Settings: p.settings, Secret: p.secret, Client: client, Limits: p.limits, Log: p.log.Named("entry")})
 		if err != nil {
 			return err
 		}
 		p.roles = append(p.roles, role)
 	}
 	if p.settings.Agent != nil {
-		role, err := agent.Start(ctx, p.group, agent.Config{Settings: p.settings, Secret: p.secret, Client: client, Log: p.log.Named("agent")})
+		role, err := agent.Start(ctx, p.group, agent.Config{Settings: p.settings, Secret: p.secret, Client: client, Limits: p.limits, Log: p.log.Named("agent")})
 		if err != nil {
 			return err
 		}
@@ -142,12 +153,13 @@
 	if err != nil {
 		return err
 	}
-	port, err := httpport.Listen(p.settings.Operator.Listen, httpport.Config{})
+	port, err := httpport.Listen(p.settings.Operator.Listen, p.limits.OtherPort("operator.listen"))
 	if err != nil {
 		return errors.Wrap(err, "operator.listen")
 	}
 	p.operatorPort = port
-	httpServer := &http.Server{Handler: p.operator.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	handler := httpport.CountBodies(p.limits.Memory, operatorBodyFactor, p.operator.Handler())
+	httpServer := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	p.group.Go(func() error { return errors.Wrap(port.Serve(httpServer), "serve operator port") })
 	p.group.Go(func() error {
 		<-ctx.Done()
