Soak: a crowd of clients that don't behave

A request that its client never finished must not reach a server, in the whole run.

One check is narrowed. The soak reports each connection that a router closes without a response while it is neither killed nor stopped. So a request that was sent before the crowd's end, got no byte, and was run by no server is counted ("crowded out") instead. One that a server has run is still reported, and so is every other request.

--- a/cmd/bronzerill-soak/callers.go
+++ b/cmd/bronzerill-soak/callers.go
@@ -27,6 +27,9 @@
 	// router, or refused there.
 	resumed, notResumed atomic.Int64
 	afterKills          afterKills
+	// crowdedUntil is when the last crowd ended, in Unix nanoseconds, and crowdedOut counts the requests that were not
+	// answered beside it.
+	crowdedUntil, crowdedOut atomic.Int64
 	// paused counts the whole answers of servers that paused.
 	// lateServed, lateRefused, lateNoResponse and lateClosed count the late requests at a stop
 	// that were answered or refused, whose connection was closed as they were sent, and whose
@@ -76,7 +79,7 @@
 func (c *callers) String() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fmt.Sprintf("%d answered, %d refused as not run %v, %d unknown, closed by routers without a fault %v, %d streams resumed, %d not", c.answered.Load(), c.refused.Load(), c.refusals,
+	return fmt.Sprintf("%d crowded out, %d answered, %d refused as not run %v, %d unknown, closed by routers without a fault %v, %d streams resumed, %d not", c.crowdedOut.Load(), c.answered.Load(), c.refused.Load(), c.refusals,
 		c.unknown.Load(), c.closedBy, c.resumed.Load(), c.notResumed.Load()) + c.afterKills.String() +
 		fmt.Sprintf(", %d whole after a pause, late at a stop: %d answered, %d refused, %d without a response, %d closed before, above the load bound %v",
 			c.paused.Load(), c.lateServed.Load(), c.lateRefused.Load(), c.lateNoResponse.Load(), c.lateClosed.Load(), c.zoneLosses)
@@ -137,7 +140,12 @@
 	}
 	if r.status == 0 {
 		c.countUnknown(r.err)
-		if !hadFault {
+		switch {
+		case hadFault:
+		case c.isCrowded(startedAt) && !c.world.hasRun(id):
+			// Routers may close connections unread while a crowd holds all that it can.
+			c.crowdedOut.Add(1)
+		default:
 			c.countClosed(router)
 			c.world.addViolation("router %d closed the connection of %s%s without a response after %s, though it was neither killed nor stopped: %v",
 				router, path, id, took.Round(time.Millisecond), r.err)
--- a/cmd/bronzerill-soak/fleet.go
+++ b/cmd/bronzerill-soak/fleet.go
@@ -148,6 +148,8 @@
 	}
 	return fmt.Sprintf(`name = "router-%d-%d"
 zone = "zone-%d"
+[limits]
+max-descriptors = %d
 [router]
 callers = %q
 readiness = %q
@@ -166,7 +168,7 @@
 retry-ratio = "0.2"
 retry-slack = "62"
 load-multiple = "2"
-`, n.index, n.generation, n.index%3, addr("callers"), addr("readiness"), addr("operators"),
+`, n.index, n.generation, n.index%3, crowdDescriptors, addr("callers"), addr("readiness"), addr("operators"),
 		addr("internal"), f.linkAddrOf(n.index, n.generation), addr("metrics"), strings.Join(seeds, ", "), n.bootstrap, f.dataFolder(n), f.listAddr, memoryMB)
 }
 
--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -91,6 +91,7 @@
 			return nil, "", err
 		}
 		spoilAnswers(f, w, c, rand.New(rand.NewPCG(cfg.seed, 14)))
+		playCrowd(ctx, cfg, f, w, c)
 		w.overtakeOrders(o, rand.New(rand.NewPCG(cfg.seed, 5)))
 		statements := new(errgroup.Group)
 		statements.Go(func() error { w.stateInTurn(rand.New(rand.NewPCG(cfg.seed, 3))); return nil })
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -226,6 +226,9 @@
 // server.
 func (w *world) serve(b *backend, p *process, rw http.ResponseWriter, r *http.Request) {
 	id, expected, lastEvent := standin.ReadRequestHeaders(r)
+	if strings.HasPrefix(id, crowdPrefix) {
+		w.addViolation("request %s reached %s though its caller never finished it", id, b.id)
+	}
 	if w.spoils.Load() && r.ContentLength >= earlyBodyBytes && expected == p.id && cutsOffEarly(id) {
 		w.countRun(id)
 		standin.Sign(rw, id, signature(id, ""))
@@ -321,6 +324,13 @@
 	w.runs[id]++
 }
 
+// hasRun reports whether a server has run a request.
+func (w *world) hasRun(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id] > 0
+}
+
 // firstPart returns the first part of the response to a request that resumes a stream at an event, or has none.
 func firstPart(requestPath string, event int, version string) string {
 	if isStreamPath(path.Dir(requestPath) + "/") {
