Ports: the limits of responses hold for copied ones too

What callers saw: nothing yet; found by reading. No handler copies a response (io.Copy) of a stated length today. One that did would be cut off when the stall timeout had passed since its head, also at a client that reads on.

Cause: for such a copy the http.Server calls ReadFrom of the connection, which was that of the embedded net.TCPConn. It goes past Write, so the write deadline of the head stayed, and the connection didn't count as one that its client is to read.

Change: ReadFrom copies through Write.

TestSlowReaderGetsACopiedResponse failed before (EOF after the timeout of 1 s), and passes now (3 of 3).

--- a/internal/wire/httpport/conn.go
+++ b/internal/wire/httpport/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -103,6 +104,12 @@
 	return written, nil
 }
 
+// ReadFrom writes what a reader returns, as the http.Server does for handlers that copy a response of a stated length.
+func (c *portConn) ReadFrom(r io.Reader) (int64, error) {
+	// Without the type of the connection, the copy goes through Write and has its limits.
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
 // limitWrite limits the next write.
 func (c *portConn) limitWrite(until time.Time) error {
 	c.mu.Lock()
--- a/internal/wire/httpport/limit_test.go
+++ b/internal/wire/httpport/limit_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -221,6 +222,30 @@
 	}
 }
 
+// Guards against slow clients that are cut off although they read on, when a handler copies a response of a stated length,
+// for which the http.Server doesn't call Write.
+func TestSlowReaderGetsACopiedResponse(t *testing.T) {
+	const size = 32 << 20
+	port := startPort(t, Config{StallTimeout: time.Second}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = io.Copy(w, io.LimitReader(zeros{}, size)) // the client sees whether it fails
+	})
+	conn := send(t, port, wholeRequest)
+	for range 32 {
+		_, err := io.CopyN(io.Discard, conn, size/32)
+		require.NoError(t, err)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// zeros is a reader of zeros without an end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
 // Guards against heads that take the memory of others (issue 52): whoever doesn't finish yields, and ordinary heads
 // aren't counted.
 func TestUnfinishedHeadsYield(t *testing.T) {
