Settings: more connections than descriptors are an error

What operators saw: nothing; a port whose max-connections is at or above max-descriptors would have taken connections until the process had no descriptor left, the fault that the limit is to prevent. Found while the settings were documented. It is an error at the start now. The checks of [limits] had no test; both new rows of the table do, and the second failed before.

--- a/internal/settings/file/settings.go
+++ b/internal/settings/file/settings.go
@@ -244,6 +244,7 @@
 	c.require(l.MemoryMB >= 0, "limits.memory-mb: want 0 or more")
 	c.require(l.MaxDescriptors == 0 || l.MaxDescriptors >= minDescriptors, "limits.max-descriptors: want 64 or more")
 	c.require(l.MaxConnections >= 0, "limits.max-connections: want 0 or more")
+	c.require(l.MaxDescriptors == 0 || l.MaxConnections < l.MaxDescriptors, "limits.max-connections: want less than limits.max-descriptors")
 	c.require(l.StallTimeout.Duration > 0, "limits.stall-timeout: want a time above 0")
 }
 
--- a/internal/settings/file/settings_test.go
+++ b/internal/settings/file/settings_test.go
@@ -45,6 +45,8 @@
 		{"several faults", "[agent]\nlisten = \"localhost:9\"", []string{"name:", "secret-file", "control-replicas", "agent.listen", "agent.server", "agent.pool", "agent.kind", "agent.backend", "zone"}},
 		{"no role", "name = \"a\"\nsecret-file = \"s\"", []string{"no role"}},
 		{"invalid range", "name = \"a\"\nsecret-file = \"s\"\n[entry]\nlisten = \"127.0.0.1:1\"\n[operator]\nlisten = \"127.0.0.1:2\"\nsecret-file=\"o\"\nallow = [\"10.0.0.1\"]", []string{"operator.allow", "control-replicas"}},
+		{"invalid limits", validSettings + "[limits]\nmemory-mb = -1\nmax-descriptors = 63\nmax-connections = -1\nstall-timeout = \"-1s\"", []string{"limits.memory-mb", "limits.max-descriptors", "limits.max-connections", "limits.stall-timeout"}},
+		{"more connections than descriptors", validSettings + "[limits]\nmax-descriptors = 512\nmax-connections = 512", []string{"limits.max-connections", "limits.max-descriptors"}},
 		{"not TOML", "\x00\xff[[", []string{"line 1"}},
 	}
 	for _, c := range cases {
