--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,6 +62,16 @@
 mutant "broken: lines may end differently" internal/wire/httpresponse/head.go 's/if c\.afterCR != c\.endsWithCR \{/if c.lines < 0 {/' internal/wire/httpresponse TestUnreadableFields
 mutant "broken: a head that follows a skipped answer isn't checked from its start" internal/router/server/limit.go 's/r\.head\.Check\(alreadyRead\)/r.head.Check(nil)/' internal/router/server TestResponseWith
 mutant "broken: an error in a head is forgotten" internal/wire/httpresponse/transport.go 's/if err := c\.headErr\(\); err != nil \{/if err := c.headErr(); err == nil \&\& c == nil {/' internal/wire/httpresponse TestTransportRejects
+mutant "crowds: nobody yields memory" internal/wire/memory/transfer.go 's/if waits \&\& progressedAt\.Before\(before\) \{/if waits \&\& progressedAt.Before(before) \&\& false {/' internal/wire/memory TestClientsWithoutProgress
+mutant "crowds: single bytes are progress" internal/wire/memory/transfer.go 's/t\.partial >= progressBytes/t.partial > 0/' internal/wire/httpport TestBodyThatStalls
+mutant "crowds: bodies may take any time" internal/wire/httpport/body.go 's/progressedAt\.Add\(c\.cfg\.StallTimeout\)/progressedAt.Add(time.Hour + c.cfg.StallTimeout)/' internal/wire/httpport TestBodyThatStalls
+mutant "crowds: the rest of a refused body is awaited" internal/wire/httpport/body.go 's/if !b\.ended \{/if !b.ended \&\& b.conn == nil {/' cmd/bronzerill TestUnfinishedBodyIsAnswered
+mutant "crowds: nobody yields at a full port" internal/wire/httpport/limit.go 's/c != nil \&\& c\.transfer\.Yield\(\)/c != nil \&\& false/' internal/wire/httpport TestFullPort
+mutant "crowds: requests that are worked on yield" internal/wire/httpport/limit.go 's/return r != rankLast \&\& r != rankWorking/return r != rankLast/' internal/wire/httpport TestStalledClients
+mutant "crowds: idle connections yield before stalled ones" internal/wire/httpport/limit.go 's/age > stallGrace:/age > time.Hour:/' internal/wire/httpport TestStalledClients
+mutant "crowds: heads aren't counted" internal/wire/httpport/conn.go 's/size > usualHeadMemory \&\& /size < 0 \&\& /' internal/wire/httpport TestUnfinishedHeads
+mutant "crowds: responses may take any time" internal/wire/httpport/conn.go 's/Clock\(\)\.Add\(c\.cfg\.StallTimeout\)/Clock().Add(time.Hour)/' internal/wire/httpport TestUnreadResponseEnds
+mutant "crowds: copied responses aren't written in parts" internal/wire/httpport/conn.go 's/struct\{ io\.Writer \}\{c\}/c.TCPConn/' internal/wire/httpport TestSlowReader
 mutant "review: bodies aren't bounded together" internal/wire/memory/budget.go 's/more > 0 \&\& used > s\.budget\.limit\(size\)/used < 0/' internal/wire/memory TestBodyThatDoesNotFit
 mutant "review: a seed that is restarted knows no founders" internal/run/router/founding.go 's/^\tif len\(founders\.List\) > 0 \{/\tif false {/' internal/run/router 'TestAnswerOfASeed|TestSeedIs'
 mutant "claims with an unknown outcome may run again" $S/ledger.go 's/record\.State = ClaimUnknown/record.State = ClaimReleased/' $A/service 'TestAtMostOnce|TestFaultAtEachStep'
