--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -140,7 +140,7 @@
 mutant "router: answers don't clear a suspect" $P/suspects.go 's/\{ return s\.allAnswers\(\) >= s\.crashes\(\) \}/{ return false }/' $P 'TestAnswersEnd|TestDeadlyPart'
 mutant "router: companions of a suspect are ignored" $P/quarantine.go 's/closest = max\(closest, known\.companionOf\(exposures\)\)/_ = known/' $P 'TestSoundCompanion|TestRareBystander'
 mutant "router: all routers try a suspect after its quarantine" $P/quarantine.go 's/if t\.isChosenRouter\(uint64\(q\.Suspect\), 1\) \&\& /if /' $P TestOneRouterTries
-mutant "router: response headers aren't bounded" $V/client.go 's/conn\.limited\.remaining = maxHeadBytes/conn.limited.remaining = unlimited/' $V TestResponseWithoutEnd
+mutant "router: response headers aren't bounded" $V/limit.go 's/r\.remaining = maxHeadBytes/r.remaining = unlimited/' $V TestResponseWithoutEnd
 mutant "router: events aren't bounded" $C/servercall.go 's/case c\.scanner\.open > maxEventBytes:/case false:/' $C TestEventWithoutEnd
 mutant "router: streams go on after events without an ID" $C/stream.go 's/c\.unnumbered = endsUnnumbered\(events, c\.unnumbered\)/_ = endsUnnumbered/' $C TestStreamDoesNotGoOnAfter
 mutant "router: single bytes count as progress" $C/servercall.go 's/if complete := c\.scanner\.scan\(data\); complete > 0 \{/if complete := c.scanner.scan(data); true {/' $C TestStalledStream
