Agents keep replies of services within their memory

What callers saw: 150 clients of an entry that ask for replies of up to 8 MB, which is legal, and read them or not, took 274 and 239 MB of an agent that may have 96. A process above its memory is killed: the outcome of all its bookings is unknown then.

Cause: a reply was bounded by itself, and the number of replies by the slots of the server (64 here). Besides, up to 32 MB of finished responses were kept for entries that reattach, whatever the memory.

Ruled out: streaming replies on: the outcome must be in the ledger before the caller gets it, so the whole reply must be there.

Change: a reply counts in the agent's budget for bodies until it has been handed to the entry. A reply that doesn't fit is of unknown outcome, as one that was cut off: the call ran. Finished responses take at most half as much as the budget.

The tests' clients of a service get a buffer; no check changed.

--- a/cmd/bronzerill/crowd_test.go
+++ b/cmd/bronzerill/crowd_test.go
@@ -163,6 +163,21 @@
 	}
 }
 
+// leaveUnread reads the start of a response, and no more of it if that is a success.
+func leaveUnread(conn net.Conn) error {
+	start := make([]byte, len("HTTP/1.1 200"))
+	if _, err := io.ReadFull(conn, start); err != nil || !strings.HasSuffix(string(start), "200") {
+		return err
+	}
+	// The process closes the connection at some time, which ends a write.
+	for {
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return err
+		}
+		time.Sleep(crowdPause)
+	}
+}
+
 // shortFields returns fields of a head, each as short as can be.
 func shortFields(size int) string {
 	var b strings.Builder
@@ -352,17 +367,7 @@
 				if _, err := conn.Write(append([]byte(head), make([]byte, test.body)...)); err != nil {
 					return err
 				}
-				start := make([]byte, len("HTTP/1.1 200"))
-				if _, err := io.ReadFull(conn, start); err != nil || !strings.HasSuffix(string(start), "200") {
-					return err
-				}
-				// The router closes the connection at some time, which ends a write.
-				for {
-					if _, err := conn.Write([]byte("x")); err != nil {
-						return err
-					}
-					time.Sleep(crowdPause)
-				}
+				return leaveUnread(conn)
 			})
 		})
 	}
--- a/cmd/bronzerill/entrycrowd_test.go
+++ b/cmd/bronzerill/entrycrowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,7 +24,9 @@
 	// entryLegalBody is the largest body that callers may send to an entry.
 	entryLegalBody = 1 << 20
 	bookingsPath   = "/v1/services/desk/bookings"
-	bookingFields  = "Authorization: Bearer " + apiKey + "\r\nIdempotency-Key: ID\r\n"
+	// largeReply is the largest reply of the booking server. Clients of crowds get it.
+	largeReply    = 8 << 20
+	bookingFields = "Authorization: Bearer " + apiKey + "\r\nIdempotency-Key: ID\r\n"
 )
 
 // entryFleet is a small fleet of processes with a booking server of this test.
@@ -74,7 +77,15 @@
 	}, patience, crowdPause, "the ticket is accepted")
 
 	limits := fmt.Sprintf("[limits]\nmemory-mb = %d\n", crowdMemoryMB)
-	server := serve(t, booking.NewServer(0).Handler().ServeHTTP)
+	bookings := booking.NewServer(0).Handler()
+	server := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		var client, n int
+		if _, err := fmt.Sscanf(r.Header.Get("Idempotency-Key"), "crowd-%d-%d", &client, &n); err == nil {
+			_, _ = w.Write(make([]byte, largeReply>>(client%halvings))) // the agent sees whether it is whole
+			return
+		}
+		bookings.ServeHTTP(w, r)
+	})
 	agentAddr, entryAddr := freeAddr(t), freeAddr(t)
 	agentSettings := f.settings("agent", limits+fmt.Sprintf("[agent]\nlisten = %q\nserver = \"server-1\"\npool = \"desk\"\nkind = \"service\"\nbackend = \"http://%s\"\n", agentAddr, server))
 	entrySettings := f.settings("entry", limits+fmt.Sprintf("[entry]\nlisten = %q\nbalancer-delay = \"1s\"\n", entryAddr))
@@ -140,3 +151,24 @@
 		})
 	}
 }
+
+// Guards against large replies that clients of an entry ask for, many at once (issue 52): agents hold them.
+func TestAgentEnduresLargeReplies(t *testing.T) {
+	request := "POST " + bookingsPath + " HTTP/1.1\r\nHost: h\r\n" + bookingFields + "Content-Length: 2\r\n\r\n{}"
+	tests := map[string]behavior{
+		"read": sendText(request),
+		"unread": func(conn net.Conn, _ int, id string) error {
+			if _, err := io.WriteString(conn, strings.Replace(request, "ID", id, 1)); err != nil {
+				return err
+			}
+			return leaveUnread(conn)
+		},
+	}
+	for name, behave := range tests {
+		t.Run(name, func(t *testing.T) {
+			entry, agent := startEntry(t)
+			agent.addr = entry.addr
+			agent.requireEndures(bodyClients, behave)
+		})
+	}
+}
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -106,7 +106,7 @@
 	}
 	return &Server{
 		cfg:   cfg,
-		table: newTable(),
+		table: newTable(cfg.Memory),
 		gate:  admission.NewGate(cfg.Pool, cfg.Zone),
 		group: group,
 		ctx:   ctx,
--- a/internal/agent/entry/table.go
+++ b/internal/agent/entry/table.go
@@ -6,15 +6,18 @@
 
 	"bronzerill"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/memory"
 )
 
 // Limits of the table of exchanges.
 const (
 	maxResponses = 8192
 	// maxRetained and maxRetainedBytes limit the finished responses that are
-	// kept for an entry that reattaches.
+	// kept for an entry that reattaches. With little memory they take less: as much as
+	// retainedPercent of the budget for bodies, beside it.
 	maxRetained      = 4096
 	maxRetainedBytes = 32 << 20
+	retainedPercent  = 50
 	// responseRetention is how long a finished response is kept for an entry
 	// that reattaches, and a tombstone for a late request.
 	responseRetention = 30 * time.Second
@@ -36,12 +39,17 @@
 	// retainedBytes is the sum of their sizes.
 	retained      []retainedResponse
 	retainedBytes int
+	// maxBytes limits retainedBytes.
+	maxBytes int
 	// evictedAt is when a response was last evicted before the end of its
 	// retention. Within responseRetention after it, an unknown ID may have run.
 	evictedAt time.Time
 }
 
-func newTable() *table { return &table{responses: make(map[exchange.ID]*response)} }
+// newTable returns an empty table beside a budget for bodies.
+func newTable(bodies *memory.Budget) *table {
+	return &table{responses: make(map[exchange.ID]*response), maxBytes: int(min(maxRetainedBytes, bodies.Size()*retainedPercent/100))}
+}
 
 // find returns the response of an ID, or nil if the ID is new. For an attach to
 // an unknown ID it adds and returns a tombstone. The entry then reports the
@@ -95,7 +103,7 @@
 func (t *table) retain(now time.Time, id exchange.ID, bytes int) {
 	t.retained = append(t.retained, retainedResponse{id, now, bytes})
 	t.retainedBytes += bytes
-	for len(t.retained) > maxRetained || t.retainedBytes > maxRetainedBytes {
+	for len(t.retained) > maxRetained || t.retainedBytes > t.maxBytes {
 		t.removeOldest()
 		t.evictedAt = now
 	}
--- a/internal/agent/entry/table_test.go
+++ b/internal/agent/entry/table_test.go
@@ -10,6 +10,7 @@
 
 	"bronzerill"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/memory"
 )
 
 var now = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -31,7 +32,7 @@
 // TestRetainedResponsesAreBounded finishes more responses within the retention
 // than the table may hold. If it kept them all, it would refuse new exchanges.
 func TestRetainedResponsesAreBounded(t *testing.T) {
-	tab := newTable()
+	tab := newTable(memory.NewBudget(defaultMemory))
 	for n := range 3 * maxResponses {
 		runExchange(t, tab, n, 100)
 	}
@@ -41,7 +42,7 @@
 // TestDroppedResponseReportsOutcomeUnknown attaches to an exchange whose response
 // was evicted. The exchange ran, so the table must not report it as not run.
 func TestDroppedResponseReportsOutcomeUnknown(t *testing.T) {
-	tab := newTable()
+	tab := newTable(memory.NewBudget(defaultMemory))
 	for n := range maxRetained + 1 {
 		runExchange(t, tab, n, 100)
 	}
@@ -53,7 +54,7 @@
 }
 
 func TestRetainedBytesAreBounded(t *testing.T) {
-	tab := newTable()
+	tab := newTable(memory.NewBudget(defaultMemory))
 	for n := range 200 {
 		runExchange(t, tab, n, windowBytes)
 	}
@@ -65,8 +66,17 @@
 	assert.Equal(t, tab.retainedBytes, total)
 }
 
+func TestRetainedBytesFitLittleMemory(t *testing.T) {
+	tab := newTable(memory.NewBudget(1 << 20))
+	for n := range 20 {
+		runExchange(t, tab, n, 100_000)
+	}
+	assert.Positive(t, tab.retainedBytes)
+	assert.LessOrEqual(t, tab.retainedBytes, 1<<20*retainedPercent/100)
+}
+
 func TestRetention(t *testing.T) {
-	tab := newTable()
+	tab := newTable(memory.NewBudget(defaultMemory))
 	runExchange(t, tab, 1, 100)
 	tab.expire(now.Add(responseRetention))
 	assert.NotNil(t, tab.responses[id(1)])
@@ -93,7 +103,7 @@
 }
 
 func TestIdleExchangeIsCanceled(t *testing.T) {
-	tab := newTable()
+	tab := newTable(memory.NewBudget(defaultMemory))
 	canceled := false
 	require.Equal(t, bronzerill.KindNone, tab.add(newResponse(id(1), now, func() { canceled = true })))
 	tab.expire(now.Add(exchange.AttachTimeout))
--- a/internal/agent/service/backoff_test.go
+++ b/internal/agent/service/backoff_test.go
@@ -23,16 +23,16 @@
 	defer service.Close()
 	now := time.Now()
 	client := NewClient(ClientConfig{Base: service.URL, Clock: func() time.Time { return now }})
-	reply, err := client.Do(t.Context(), open("k", "r1", "1"))
+	reply, err := client.Do(t.Context(), open("k", "r1", "1"), newBuffer())
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, reply.Status)
 	for range 5 {
-		_, err = client.Do(t.Context(), open("k", "r1", "1"))
+		_, err = client.Do(t.Context(), open("k", "r1", "1"), newBuffer())
 		require.Equal(t, bronzerill.KindOverloaded, bronzerill.KindOf(err))
 	}
 	require.EqualValues(t, 1, received.Load())
 	now = now.Add(2 * time.Second)
-	_, err = client.Do(t.Context(), open("k", "r1", "1"))
+	_, err = client.Do(t.Context(), open("k", "r1", "1"), newBuffer())
 	require.NoError(t, err)
 	require.EqualValues(t, 2, received.Load())
 }
--- a/internal/agent/service/brokenhead_test.go
+++ b/internal/agent/service/brokenhead_test.go
@@ -18,11 +18,11 @@
 	client := NewClient(ClientConfig{Base: "http://" + startCutService(t, &current), Clock: time.Now})
 	for _, head := range heads {
 		current.Store(&cutReply{sent: head + "Content-Length: 2\r\n\r\n{}"})
-		reply, err := client.Do(t.Context(), exchange.Open{Method: "POST", Path: "/bookings", Key: "k"})
+		reply, err := client.Do(t.Context(), exchange.Open{Method: "POST", Path: "/bookings", Key: "k"}, newBuffer())
 		require.Equal(t, bronzerill.KindOutcomeUnknown, bronzerill.KindOf(err), "%q is a reply: %+v", head, reply)
 	}
 	current.Store(&cutReply{sent: "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\n{}"})
-	reply, err := client.Do(t.Context(), exchange.Open{Method: "POST", Path: "/bookings", Key: "k"})
+	reply, err := client.Do(t.Context(), exchange.Open{Method: "POST", Path: "/bookings", Key: "k"}, newBuffer())
 	require.NoError(t, err)
 	require.Equal(t, 201, reply.Status)
 }
--- a/internal/agent/service/client.go
+++ b/internal/agent/service/client.go
@@ -20,6 +20,7 @@
 	"bronzerill/internal/wire/exchange"
 	"bronzerill/internal/wire/httpheader"
 	"bronzerill/internal/wire/httpresponse"
+	"bronzerill/internal/wire/memory"
 )
 
 // Limits of one call.
@@ -49,10 +50,10 @@
 // NewClient returns a client of one service.
 func NewClient(cfg ClientConfig) *Client { return &Client{cfg: cfg} }
 
-// Do sends one call and returns the complete reply. If the kind of the error
+// Do sends one call and returns the complete reply, whose body is in the buffer. If the kind of the error
 // means not-run, no byte of the request was sent. It is KindOverloaded in a pause that the
 // service asked for.
-func (c *Client) Do(ctx context.Context, o exchange.Open) (state.Reply, error) {
+func (c *Client) Do(ctx context.Context, o exchange.Open, buffer *memory.Buffer) (state.Reply, error) {
 	if wait := c.backoff.Remaining(c.cfg.Clock()); wait > 0 {
 		return state.Reply{}, bronzerill.Errorf(bronzerill.KindOverloaded, "the service asked for a pause of another %v", wait)
 	}
@@ -80,7 +81,7 @@
 	if c.backoff.Record(c.cfg.Clock(), response.StatusCode, response.Header) {
 		metrics.Count(metrics.EventBackoff)
 	}
-	return readReply(response)
+	return readReply(response, buffer)
 }
 
 // callError returns KindUnreachable if no connection was made, so that the call
@@ -115,18 +116,15 @@
 
 // readReply reads a reply. A service has no report that tells its processes apart, so a reply that
 // ends with its connection may be cut off.
-func readReply(response *http.Response) (state.Reply, error) {
+func readReply(response *http.Response, buffer *memory.Buffer) (state.Reply, error) {
 	if !httpheader.IsFramed(response) {
 		return state.Reply{}, bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "service reply has neither a length nor chunks")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil {
+	buffer.Expect(response.ContentLength)
+	if err := buffer.ReadAll(response.Body, maxResponseBytes); err != nil {
 		return state.Reply{}, bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "service reply is incomplete: %v", err)
 	}
-	if len(body) > maxResponseBytes {
-		return state.Reply{}, bronzerill.Errorf(bronzerill.KindOutcomeUnknown, "service reply exceeds %d bytes", maxResponseBytes)
-	}
-	return state.Reply{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+	return state.Reply{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: buffer.Bytes()}, nil
 }
 
 // Ping checks that the service accepts connections.
--- a/internal/agent/service/client_test.go
+++ b/internal/agent/service/client_test.go
@@ -82,9 +82,9 @@
 func TestClientSendsOnce(t *testing.T) {
 	addr, received := closingServer(t, 1)
 	client := NewClient(ClientConfig{Base: "http://" + addr, Clock: time.Now})
-	_, err := client.Do(t.Context(), open("k", "r1", "1"))
+	_, err := client.Do(t.Context(), open("k", "r1", "1"), newBuffer())
 	require.NoError(t, err)
-	_, err = client.Do(t.Context(), open("k", "r2", "1"))
+	_, err = client.Do(t.Context(), open("k", "r2", "1"), newBuffer())
 	assert.Equal(t, bronzerill.KindOutcomeUnknown, bronzerill.KindOf(err))
 	assert.Equal(t, int32(2), received.Load())
 }
@@ -94,7 +94,7 @@
 	require.NoError(t, err)
 	addr := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	_, err = NewClient(ClientConfig{Base: "http://" + addr, Clock: time.Now}).Do(t.Context(), open("k", "r1", "1"))
+	_, err = NewClient(ClientConfig{Base: "http://" + addr, Clock: time.Now}).Do(t.Context(), open("k", "r1", "1"), newBuffer())
 	assert.Equal(t, bronzerill.KindUnreachable, bronzerill.KindOf(err))
 	assert.Equal(t, bronzerill.RunNot, bronzerill.KindOf(err).Response().Run)
 }
@@ -120,7 +120,7 @@
 			o.Body = []byte(c.mark)
 			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 			defer cancel()
-			_, err := NewClient(ClientConfig{Base: service.URL, Clock: time.Now}).Do(ctx, o)
+			_, err := NewClient(ClientConfig{Base: service.URL, Clock: time.Now}).Do(ctx, o, newBuffer())
 			assert.Equal(t, c.kind, bronzerill.KindOf(err), "%v", err)
 			assert.Equal(t, c.runs, bookingServer.Executions()["k"])
 			assert.Equal(t, 1, bookingServer.Received("k"), "the call is sent once")
@@ -139,6 +139,6 @@
 	}))
 	defer server.Close()
 	client := NewClient(ClientConfig{Base: server.URL, Clock: time.Now})
-	_, err := client.Do(t.Context(), open("key", "r1", "1"))
+	_, err := client.Do(t.Context(), open("key", "r1", "1"), newBuffer())
 	require.Equal(t, bronzerill.KindOutcomeUnknown, bronzerill.KindOf(err), "%v", err)
 }
--- a/internal/agent/service/cut_test.go
+++ b/internal/agent/service/cut_test.go
@@ -11,6 +11,7 @@
 	"bronzerill"
 	"bronzerill/internal/control/state"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/memory"
 )
 
 // slowBackend is a service that takes a while and ends a call that is canceled.
@@ -20,7 +21,7 @@
 }
 
 // Do runs the call at once and replies after the duration.
-func (b *slowBackend) Do(ctx context.Context, o exchange.Open) (state.Reply, error) {
+func (b *slowBackend) Do(ctx context.Context, o exchange.Open, _ *memory.Buffer) (state.Reply, error) {
 	reply := b.execute(o)
 	select {
 	case <-time.After(b.duration):
--- a/internal/agent/service/cuthead_test.go
+++ b/internal/agent/service/cuthead_test.go
@@ -77,7 +77,7 @@
 			for n := 0; n <= len(test.reply); n++ {
 				for _, resets := range []bool{false, true} {
 					current.Store(&cutReply{test.reply[:n], resets})
-					reply, err := client.Do(t.Context(), open("k", "r1", "1"))
+					reply, err := client.Do(t.Context(), open("k", "r1", "1"), newBuffer())
 					switch {
 					case err != nil:
 						require.Equal(t, bronzerill.KindOutcomeUnknown, bronzerill.KindOf(err), "%d bytes, reset %v: %v", n, resets, err)
--- a/internal/agent/service/runner.go
+++ b/internal/agent/service/runner.go
@@ -14,6 +14,7 @@
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/memory"
 )
 
 // Timing of claims.
@@ -41,7 +42,7 @@
 
 // BackendClient sends calls to the backend server.
 type BackendClient interface {
-	Do(ctx context.Context, o exchange.Open) (state.Reply, error)
+	Do(ctx context.Context, o exchange.Open, buffer *memory.Buffer) (state.Reply, error)
 }
 
 var _ BackendClient = (*Client)(nil)
@@ -52,6 +53,8 @@
 	Ledger Ledger
 	Agent  string
 	Pool   string
+	// Memory is what all replies may take. The default is defaultMemory.
+	Memory *memory.Budget
 	// Generation returns the generation of the agent process.
 	Generation func() uint64
 	View       func() *control.View
@@ -69,14 +72,24 @@
 
 var _ entry.Runner = (*Runner)(nil)
 
+// defaultMemory is what replies may take in bytes unless the configuration says otherwise.
+const defaultMemory = 256 << 20
+
 // NewRunner returns a runner.
-func NewRunner(cfg RunnerConfig) *Runner { return &Runner{cfg: cfg} }
+func NewRunner(cfg RunnerConfig) *Runner {
+	if cfg.Memory == nil {
+		cfg.Memory = memory.NewBudget(defaultMemory)
+	}
+	return &Runner{cfg: cfg}
+}
 
 // Run sends the call. It sends it under a claim unless the path is repeatable.
 func (r *Runner) Run(ctx context.Context, o exchange.Open, sink entry.Sink) error {
 	pool, _ := r.cfg.View().Config.Pool(r.cfg.Pool)
 	if pool.IsRepeatable(o.Path) {
-		reply, err := r.cfg.Client.Do(ctx, o)
+		buffer := r.cfg.Memory.NewBuffer(nil, 0)
+		defer buffer.Free()
+		reply, err := r.cfg.Client.Do(ctx, o, &buffer)
 		if err != nil {
 			return err
 		}
@@ -189,7 +202,9 @@
 		r.release(key, attempt)
 		return bronzerill.Errorf(bronzerill.KindAborted, "the request ended before the call was sent")
 	}
-	reply, err := r.call(ctx, o)
+	buffer := r.cfg.Memory.NewBuffer(nil, 0)
+	defer buffer.Free()
+	reply, err := r.call(ctx, o, &buffer)
 	switch {
 	case err == nil:
 		return r.finish(ctx, key, attempt, reply, sink)
@@ -203,7 +218,7 @@
 
 // call sends a call under a claim. It goes on until its deadline when the caller leaves: what was
 // cut off stays unknown, and a resend gets the reply of a call that wasn't.
-func (r *Runner) call(ctx context.Context, o exchange.Open) (state.Reply, error) {
+func (r *Runner) call(ctx context.Context, o exchange.Open, buffer *memory.Buffer) (state.Reply, error) {
 	type result struct {
 		reply state.Reply
 		err   error
@@ -215,7 +230,7 @@
 			agentCtx, cancel = context.WithDeadline(agentCtx, deadline)
 			defer cancel()
 		}
-		reply, err := r.cfg.Client.Do(agentCtx, o)
+		reply, err := r.cfg.Client.Do(agentCtx, o, buffer)
 		done <- result{reply, err}
 	})
 	received := <-done
--- a/internal/agent/service/world_test.go
+++ b/internal/agent/service/world_test.go
@@ -15,6 +15,7 @@
 	"bronzerill/internal/control/state"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/memory"
 )
 
 // world simulates a ledger, a booking server and agent processes, with seeded
@@ -187,7 +188,7 @@
 }
 
 // Do calls the booking server over a faulty network.
-func (p *process) Do(_ context.Context, o exchange.Open) (state.Reply, error) {
+func (p *process) Do(_ context.Context, o exchange.Open, _ *memory.Buffer) (state.Reply, error) {
 	if p.isDead() {
 		return state.Reply{}, bronzerill.Errorf(bronzerill.KindUnreachable, "killed before the call")
 	}
@@ -234,3 +235,9 @@
 		Method: "POST", Path: "/bookings", Key: key, Body: []byte("landau for " + key), Timeout: time.Minute,
 	}
 }
+
+// newBuffer returns a buffer for one reply.
+func newBuffer() *memory.Buffer {
+	buffer := memory.NewBudget(defaultMemory).NewBuffer(nil, 0)
+	return &buffer
+}
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -125,6 +125,7 @@
 	return service.NewRunner(service.RunnerConfig{
 		Client:     service.NewClient(service.ClientConfig{Base: r.settings.Backend, Clock: r.clock}),
 		Ledger:     r.cfg.Client,
+		Memory:     r.cfg.Limits.Memory,
 		Agent:      r.settings.Server,
 		Pool:       r.settings.Pool,
 		Generation: r.generation.Load,
--- a/internal/wire/memory/budget.go
+++ b/internal/wire/memory/budget.go
@@ -37,6 +37,9 @@
 	return &Budget{size: size, transfers: make(map[*Transfer]struct{}), freed: make(chan struct{})}
 }
 
+// Size returns the size in bytes.
+func (b *Budget) Size() int64 { return b.size }
+
 // Used returns the bytes that are taken.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
--- a/internal/wire/memory/buffer.go
+++ b/internal/wire/memory/buffer.go
@@ -27,9 +27,14 @@
 // NewBuffer returns an empty buffer. The expected size may be wrong, and 0 if it isn't known. The transfer is that of
 // the connection to which the body belongs, nil if it belongs to none.
 func (b *Budget) NewBuffer(t *Transfer, expected int64) Buffer {
-	return Buffer{share: b.NewShare(t), expected: int(max(0, min(expected, b.size)))}
+	buffer := Buffer{share: b.NewShare(t)}
+	buffer.Expect(expected)
+	return buffer
 }
 
+// Expect sets the expected final size of an empty buffer. It may be wrong, and 0 or less if it isn't known.
+func (b *Buffer) Expect(size int64) { b.expected = int(max(0, min(size, b.share.budget.size))) }
+
 // Bytes returns the content. It is valid until the next call of another method.
 func (b *Buffer) Bytes() []byte { return b.data }
 
