Soak: the whole crowd calls one router

150 clients for each router never came near the 450 descriptors that it may have open, so the crowd would not have shown ports without a limit. Now 750 clients call one router, which the seed draws; the others have to go on as before.

--- a/cmd/bronzerill-soak/crowd.go
+++ b/cmd/bronzerill-soak/crowd.go
@@ -20,8 +20,8 @@
 // A crowd of clients that don't behave.
 const (
 	crowdTime = 3 * time.Second
-	// crowdPerRouter is how many clients there are for each router, and maxCrowd how many at most.
-	crowdPerRouter, maxCrowd = 150, 1200
+	// crowdClients is how many clients there are.
+	crowdClients = 750
 	// crowdPause is how long a client waits before it connects again.
 	crowdPause = 50 * time.Millisecond
 	// crowdBody is the largest body that they send, and ordinaryBody the body of the requests that must be served meanwhile.
@@ -60,8 +60,7 @@
 }
 
 // misbehave sends something to a router and holds the connection until the router closes it or ctx ends.
-func (c *callers) misbehave(ctx context.Context, random *rand.Rand) {
-	router := random.IntN(len(c.fleet.nodes))
+func (c *callers) misbehave(ctx context.Context, router int, random *rand.Rand) {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", c.fleet.addr(router, "callers"))
 	if err != nil {
@@ -87,8 +86,8 @@
 	return startedAt.UnixNano() < c.crowdedUntil.Load()
 }
 
-// playCrowd lets a crowd of clients hold all that it can of each router. No router may end, or exceed its memory or
-// its descriptors, and each must serve an ordinary request with a body.
+// playCrowd lets a crowd of clients hold all that it can of a router that the seed draws. No router may end, or exceed its
+// memory or its descriptors, and each must serve an ordinary request with a body.
 func playCrowd(ctx context.Context, cfg config, f *fleet, w *world, c *callers) {
 	ctx, end := context.WithCancel(ctx)
 	defer end()
@@ -98,11 +97,12 @@
 	}
 	c.crowdedUntil.Store(math.MaxInt64)
 	crowd := new(errgroup.Group)
-	for i := range min(maxCrowd, crowdPerRouter*len(f.nodes)) {
+	target := rand.New(rand.NewPCG(cfg.seed, 15)).IntN(len(f.nodes))
+	for i := range crowdClients {
 		random := rand.New(rand.NewPCG(cfg.seed, uint64(1000+i)))
 		crowd.Go(func() error {
 			for ctx.Err() == nil {
-				c.misbehave(ctx, random)
+				c.misbehave(ctx, target, random)
 				time.Sleep(crowdPause)
 			}
 			return nil
