--- a/cmd/bronzerill/entrycrowd_test.go
+++ b/cmd/bronzerill/entrycrowd_test.go
@@ -152,10 +152,10 @@
 	}
 }
 
-// Guards against large replies that clients of an entry ask for, many at once (issue 52): agents hold them.
-func TestAgentEnduresLargeReplies(t *testing.T) {
+// largeReplies are crowds that ask an entry for large replies, and read them or not.
+func largeReplies() map[string]behavior {
 	request := "POST " + bookingsPath + " HTTP/1.1\r\nHost: h\r\n" + bookingFields + "Content-Length: 2\r\n\r\n{}"
-	tests := map[string]behavior{
+	return map[string]behavior{
 		"read": sendText(request),
 		"unread": func(conn net.Conn, _ int, id string) error {
 			if _, err := io.WriteString(conn, strings.Replace(request, "ID", id, 1)); err != nil {
@@ -164,7 +164,11 @@
 			return leaveUnread(conn)
 		},
 	}
-	for name, behave := range tests {
+}
+
+// Guards against large replies, many at once, that agents hold (issue 52).
+func TestAgentEnduresLargeReplies(t *testing.T) {
+	for name, behave := range largeReplies() {
 		t.Run(name, func(t *testing.T) {
 			entry, agent := startEntry(t)
 			agent.addr = entry.addr
@@ -172,3 +176,13 @@
 		})
 	}
 }
+
+// Guards against large replies, many at once, that entries pass on (issue 52).
+func TestEntryEnduresLargeReplies(t *testing.T) {
+	for name, behave := range largeReplies() {
+		t.Run(name, func(t *testing.T) {
+			entry, _ := startEntry(t)
+			entry.requireEndures(bodyClients, behave)
+		})
+	}
+}
--- a/internal/run/limits/limits.go
+++ b/internal/run/limits/limits.go
@@ -34,11 +34,10 @@
 
 // Limits of the number of connections.
 const (
-	// callerDivisor is the part of the descriptors that callers' connections may take. The requests on them take up to twice
-	// as many for calls to servers. What is left is for other ports, peers and files.
+	// One in callerDivisor descriptors may be a caller's connection. The requests on these take up to twice as many for calls
+	// to servers. What is left is for other ports, peers and files.
 	callerDivisor = 5
-	// otherDivisor is the part of the descriptors that the connections of each other port may take, and minOther the least
-	// number.
+	// One in otherDivisor descriptors may be a connection of each other port, and minOther at least.
 	otherDivisor = 64
 	minOther     = 16
 	// maxCallers and maxOther are the largest numbers by default.
--- a/internal/wire/httpport/conn.go
+++ b/internal/wire/httpport/conn.go
@@ -267,7 +267,7 @@
 	return false
 }
 
-// counted counts an event and returns true.
+// counted counts an event. It returns true, as the result of a yield.
 func counted(e metrics.Event) bool {
 	metrics.Count(e)
 	return true
