--- a/cmd/bronzerill/entrycrowd_test.go
+++ b/cmd/bronzerill/entrycrowd_test.go
@@ -58,16 +58,17 @@
 	return nil
 }
 
-// startEntry starts a control replica, an agent with a booking server, and an entry with the limits of a crowd's
-// target, and returns the latter two.
-func startEntry(t *testing.T) (entry, agent *target) {
+// startEntry starts a control replica, an agent with a booking server, and an entry, each with the limits of a crowd's
+// target. The address of the control replica is its operators' port.
+func startEntry(t *testing.T) (entry, agent, control *target) {
 	f := &entryFleet{t: t, program: buildProgram(t), folder: t.TempDir(), control: freeAddr(t), operators: make(map[string]string)}
 	for _, name := range []string{"fleet.secret", "operator.secret"} {
 		require.NoError(t, os.WriteFile(f.file(name), []byte(name+" of this test"), 0o600))
 	}
-	control := f.settings("control", fmt.Sprintf("[control]\nlisten = %q\ndata-folder = %q\n", f.control, f.file("data")))
-	require.NoError(t, f.run("init", "--settings", control, "--replica", "control="+f.control))
-	startProcess(t, 0, f.program, "run", "--settings", control)
+	limits := fmt.Sprintf("[limits]\nmemory-mb = %d\n", crowdMemoryMB)
+	controlSettings := f.settings("control", limits+fmt.Sprintf("[control]\nlisten = %q\ndata-folder = %q\n", f.control, f.file("data")))
+	require.NoError(t, f.run("init", "--settings", controlSettings, "--replica", "control="+f.control))
+	controlProcess := startProcess(t, crowdDescriptors, f.program, "run", "--settings", controlSettings)
 	ticket := "number = 1\n[[zone]]\nname = \"gramado\"\n[[pool]]\nname = \"desk\"\nkind = \"service\"\nload-multiple = 1.5\nslots = 64\nfloor-slots = 64\ncold-slots = 64\nramp-step = 1\n" +
 		fmt.Sprintf("[[customer]]\nname = \"hotel\"\nkey-hash = %q\nweight = 1\n", caller.KeyHash(apiKey)) +
 		"[[policy]]\nname = \"desk\"\npool = \"desk\"\nspill-hops = 3\nqueue-timeout-ms = 2000\n"
@@ -76,7 +77,6 @@
 		return f.run("ticket", "submit", "--operator", f.operators["control"], "--secret-file", f.file("operator.secret"), f.file("ticket.toml")) == nil
 	}, patience, crowdPause, "the ticket is accepted")
 
-	limits := fmt.Sprintf("[limits]\nmemory-mb = %d\n", crowdMemoryMB)
 	bookings := booking.NewServer(0).Handler()
 	server := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		var client, n int
@@ -110,7 +110,8 @@
 	entry = &target{process: startProcess(t, crowdDescriptors, f.program, "run", "--settings", entrySettings), addr: entryAddr, call: call, legalBody: entryLegalBody}
 	agent = &target{process: startProcess(t, crowdDescriptors, f.program, "run", "--settings", agentSettings), addr: agentAddr, call: call, legalBody: entryLegalBody}
 	require.Eventually(t, func() bool { return call(strings.NewReader("{}")) == http.StatusOK }, patience, crowdPause, "the first booking")
-	return entry, agent
+	control = &target{process: controlProcess, addr: f.operators["control"], call: call, legalBody: entryLegalBody}
+	return entry, agent, control
 }
 
 // Guards against clients of an entry that send many bodies at once and don't finish them, or hold its connections
@@ -131,7 +132,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			entry, _ := startEntry(t)
+			entry, _, _ := startEntry(t)
 			entry.requireEndures(test.clients, test.behave)
 		})
 	}
@@ -146,7 +147,7 @@
 	}
 	for name, sent := range tests {
 		t.Run(name, func(t *testing.T) {
-			_, agent := startEntry(t)
+			_, agent, _ := startEntry(t)
 			agent.requireEndures(crowdDescriptors+100, sendText(sent))
 		})
 	}
@@ -170,7 +171,7 @@
 func TestAgentEnduresLargeReplies(t *testing.T) {
 	for name, behave := range largeReplies() {
 		t.Run(name, func(t *testing.T) {
-			entry, agent := startEntry(t)
+			entry, agent, _ := startEntry(t)
 			agent.addr = entry.addr
 			agent.requireEndures(bodyClients, behave)
 		})
@@ -181,7 +182,7 @@
 func TestEntryEnduresLargeReplies(t *testing.T) {
 	for name, behave := range largeReplies() {
 		t.Run(name, func(t *testing.T) {
-			entry, _ := startEntry(t)
+			entry, _, _ := startEntry(t)
 			entry.requireEndures(bodyClients, behave)
 		})
 	}
