Ports: the wait for the end of connections goes by the port's clock

AwaitClosed read the time itself, though its configuration has a clock, and what it calls decides by that time. No behaviour changes with the default clock. Remaining: entry/agent Exchange reads time.Now for the limit of its attempts to attach again.

--- a/internal/wire/httpport/port.go
+++ b/internal/wire/httpport/port.go
@@ -113,7 +113,7 @@
 func (p *Port) AwaitClosed(ctx context.Context) error {
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
-	for p.releaseIdle(time.Now()) > 0 {
+	for p.releaseIdle(p.cfg.Clock()) > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
