Memory: who shares a victim with another claim isn't refused

What callers saw: a whole request was closed unread at a port whose memory was full of unfinished ones, though these were about to give theirs back.

The second one finds that it has been made to yield already, and gave up, with "no memory", as if its client had just finished. The same if the memory was given back between the failed try and the look for somebody to yield.

Change: a client that doesn't yield to a claim is passed over, and the next one is asked; a claim tries again if memory was given back meanwhile; those that wait for a client that doesn't yield after all are woken.

TestClientThatDoesNotYieldIsPassedOver (3 of 3 cases) and TestWaitEndsForClientThatDoesNotYield fail on.

--- a/internal/wire/memory/budget.go
+++ b/internal/wire/memory/budget.go
@@ -134,12 +134,16 @@
 	defer s.budget.waiting.Add(-1)
 	timeout := time.NewTimer(yieldTimeout)
 	defer timeout.Stop()
+	c := claim{budget: s.budget, requester: s.transfer, size: size}
 	for {
 		freed := s.budget.watch()
 		if s.Resize(size) {
 			return true
 		}
-		if s.transfer.Yielded() || !s.budget.reclaim(s.transfer, size, size-s.taken) {
+		if s.transfer.Yielded() {
+			return false
+		}
+		if !c.reclaim(size-s.taken) && !isClosed(freed) {
 			return false
 		}
 		select {
@@ -150,5 +154,15 @@
 	}
 }
 
+// isClosed reports whether a channel on which nothing is sent is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // Free gives back all that the share takes.
 func (s *Share) Free() { s.Resize(0) }
--- a/internal/wire/memory/transfer.go
+++ b/internal/wire/memory/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,8 +116,10 @@
 		return true
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.yielded = false
+	t.mu.Unlock()
+	// Others may be waiting for its memory in vain.
+	t.budget.notify()
 	return false
 }
 
@@ -138,40 +141,50 @@
 	return t.progressedAt, 0, true
 }
 
+// claim is the wish of a share for a size that didn't fit.
+type claim struct {
+	budget *Budget
+	// requester is the transfer of the share, which doesn't yield to itself. It may be nil.
+	requester *Transfer
+	size      int64
+	// declined are transfers that didn't yield to the claim. They aren't asked again.
+	declined []*Transfer
+}
+
 // reclaim makes the transfers whose clients have made no progress for longest yield, until a number of bytes is given back or
 // about to be. It returns false if none is, since no client has made no progress for longer than the requester's.
-func (b *Budget) reclaim(requester *Transfer, size, bytes int64) bool {
+func (c *claim) reclaim(bytes int64) bool {
 	own := newest
-	if requester != nil {
-		if phase, progressedAt := requester.Phase(); phase != PhaseWorking {
+	if c.requester != nil {
+		if phase, progressedAt := c.requester.Phase(); phase != PhaseWorking {
 			own = progressedAt
 		}
 	}
-	before := b.used.Load()
+	before := c.budget.used.Load()
 	for {
-		oldest, pending := b.oldest(requester, size > smallBytes, own)
-		if pending += max(0, before-b.used.Load()); pending >= bytes || oldest == nil {
+		oldest, pending := c.oldest(own)
+		if pending += max(0, before-c.budget.used.Load()); pending >= bytes || oldest == nil {
 			return pending > 0
 		}
 		if !oldest.Yield() {
-			// Its client has just finished.
-			return pending > 0
+			// Its client has just finished, or another claim has just made it yield.
+			c.declined = append(c.declined, oldest)
 		}
 	}
 }
 
-// oldest returns the transfer whose client has made no progress for longest, if that is before a time. pending is what
-// the transfers that were made to yield still take.
-func (b *Budget) oldest(requester *Transfer, large bool, before time.Time) (oldest *Transfer, pending int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for t := range b.transfers {
-		if t == requester {
+// oldest returns the transfer whose client has made no progress for longest, if that is before a time. pending is what the
+// transfers that were made to yield still take.
+func (c *claim) oldest(before time.Time) (oldest *Transfer, pending int64) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	for t := range c.budget.transfers {
+		if t == c.requester {
 			continue
 		}
-		progressedAt, yielding, waits := t.candidate(large)
+		progressedAt, yielding, waits := t.candidate(c.size > smallBytes)
 		pending += yielding
-		if waits && progressedAt.Before(before) {
+		if waits && progressedAt.Before(before) && !slices.Contains(c.declined, t) {
 			oldest, before = t, progressedAt
 		}
 	}
--- a/internal/wire/memory/transfer_test.go
+++ b/internal/wire/memory/transfer_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 )
 
 // yielder is a transfer that gives its share back when it is made to yield.
@@ -82,6 +84,79 @@
 	require.True(t, stuck.Yielded())
 }
 
+// Guards against a request that is refused although there is memory for it, because a client that was to yield has just
+// finished, or yields to somebody else (issue 52).
+func TestClientThatDoesNotYieldIsPassedOver(t *testing.T) {
+	tests := map[string]struct {
+		// first is what the yielding of the oldest client does.
+		first func(y *yielder)
+		// others is whether there is another client that can yield.
+		others bool
+	}{
+		"finished, others wait":    {func(y *yielder) {}, true},
+		"has given back its share": {func(y *yielder) { y.share.Free() }, false},
+		"is being worked on":       {func(y *yielder) { y.Begin(time.Unix(1000, 0), PhaseWorking) }, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			b := NewBudget(1 << 20)
+			first := &yielder{}
+			first.Transfer = b.NewTransfer(now.Add(-time.Hour), func(Phase) bool {
+				test.first(first)
+				return false
+			})
+			first.Begin(now.Add(-time.Hour), PhaseBody)
+			first.share = b.NewShare(first.Transfer)
+			require.True(t, first.share.Resize(300_000))
+			second := newYielder(t, b, now.Add(-time.Minute), PhaseBody, 300_000)
+			own := b.NewTransfer(now, func(Phase) bool { return true })
+			own.Begin(now, PhaseBody)
+			if !test.others {
+				second.Begin(now, PhaseWorking)
+			}
+			share := b.NewShare(own)
+			require.True(t, share.Grow(300_000))
+			require.Equal(t, test.others, second.Yielded())
+		})
+	}
+}
+
+// Guards against a request that waits for memory of a client that doesn't yield after all, while others could (issue 52).
+func TestWaitEndsForClientThatDoesNotYield(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(1 << 20)
+	release := make(chan struct{})
+	first := &yielder{}
+	first.Transfer = b.NewTransfer(now.Add(-time.Hour), func(Phase) bool {
+		<-release
+		return false
+	})
+	first.Begin(now.Add(-time.Hour), PhaseBody)
+	first.share = b.NewShare(first.Transfer)
+	require.True(t, first.share.Resize(300_000))
+	newYielder(t, b, now.Add(-time.Minute), PhaseBody, 300_000)
+	var group errgroup.Group
+	group.Go(func() error {
+		if first.Yield() {
+			return errors.New("it yielded")
+		}
+		return nil
+	})
+	require.Eventually(t, first.Yielded, time.Second, time.Millisecond)
+	group.Go(func() error {
+		if share := b.NewShare(nil); !share.Grow(300_000) {
+			return errors.New("no memory")
+		}
+		return nil
+	})
+	require.Eventually(t, func() bool { return b.waiting.Load() == 1 }, time.Second, time.Millisecond)
+	time.Sleep(yieldTimeout / 10)
+	first.Begin(now, PhaseWorking)
+	close(release)
+	require.NoError(t, group.Wait())
+}
+
 // Guards against a request that is refused because of the one before on its connection.
 func TestNextRequestHasNotYielded(t *testing.T) {
 	now := time.Unix(1000, 0)
