Ports: whole requests don't yield before they are served

A whole request with a long head was closed unread, to make room for unfinished ones that had come after it.

Cause: a connection counted as waiting for its client until the http.Server had parsed the head, also when all of it had arrived. Beside many clients the parser's goroutine gets its turn late, and by then the connection can be the one without progress for longest.

Ruled out: a test that is too strict. It asks that a whole request is served beside ones that stop within their heads, which is what the issue asks.

Change: a port finds the empty line that ends a head in the bytes it reads. From then on the connection is being worked on, and may take the memory of clients that don't finish.

--- a/internal/wire/httpport/conn.go
+++ b/internal/wire/httpport/conn.go
@@ -47,9 +47,11 @@
 	served bool
 	// cut is set once nothing more of the response is to be sent.
 	cut bool
-	// inHead is set until the head of a request has been read. headMemory is what that takes so far.
+	// inHead is set until the head of a request has been read. headMemory is what that takes so far, and headEnd finds its
+	// end.
 	inHead     bool
 	headMemory int64
+	headEnd    headEnd
 	// gone is set if the connection was closed before the head of a request had been read.
 	gone bool
 	// readDeadline is the deadline that the http.Server has set.
@@ -148,7 +150,11 @@
 	if !c.inHead {
 		return 0
 	}
-	if c.headMemory == 0 {
+	switch {
+	case c.headEnd.find(data):
+		// Nothing more is awaited from the client.
+		c.transfer.Begin(c.cfg.Clock(), memory.PhaseWorking)
+	case c.headMemory == 0:
 		c.transfer.Begin(c.cfg.Clock(), memory.PhaseHead)
 	}
 	c.headMemory += headByteMemory*int64(len(data)) + headLineMemory*int64(bytes.Count(data, []byte{'\n'}))
@@ -176,7 +182,7 @@
 func (c *portConn) beginWork(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.refused, c.inHead, c.headMemory = false, false, 0
+	c.refused, c.inHead, c.headMemory, c.headEnd = false, false, 0, headEnd{}
 	c.gone = !c.transfer.Begin(now, memory.PhaseWorking)
 }
 
