Agents: what entries are still to read of all responses fits their memory

What callers saw: nothing yet; an agent that may have 96 MB took 193 MB beside 612 clients of an entry that ask for long streams of an engine and don't read them. Above its memory a process is killed, with all requests of its engine.

Cause: each response has a window of up to 512 KB for entries that read slowly or attach again, and each frame was a copy of all that was unread. The windows counted nowhere; their number follows from the slots of the engine (256 in the test).

Ruled out: smaller windows for all, since entries then couldn't attach again without a loss in calm; to count windows among the bodies, where a crowd that doesn't read would hold what ordinary requests with bodies need.

Change: the windows of an agent have a budget of their own, as large as that for bodies, finished ones and those that are still read after their eviction included. Without room in it, a window gives up what was read, and holds 16 KB at most. The engine waits then, as it does at a full window. Frames have 32 KB at most.

Tests: the fleet of the crowd tests takes any backend server.

--- a/cmd/bronzerill/entrycrowd_test.go
+++ b/cmd/bronzerill/entrycrowd_test.go
@@ -58,9 +58,48 @@
 	return nil
 }
 
-// startEntry starts a control replica, an agent with a booking server, and an entry, each with the limits of a crowd's
+// backend is a backend server of this test, and how callers call it.
+type backend struct {
+	// kind is that of its pool, which has a number of slots.
+	kind  string
+	slots int
+	serve http.HandlerFunc
+	// newRequest returns an ordinary request to an entry.
+	newRequest func(entryURL string, body io.Reader) (*http.Request, error)
+	// status is that of the response to it.
+	status int
+}
+
+// bookingServer returns a booking server. Clients of crowds get large replies.
+func bookingServer() backend {
+	bookings := booking.NewServer(0).Handler()
+	var lastKey atomic.Int64
+	return backend{
+		kind: "service", slots: 64, status: http.StatusCreated,
+		serve: func(w http.ResponseWriter, r *http.Request) {
+			var client, n int
+			if _, err := fmt.Sscanf(r.Header.Get("Idempotency-Key"), "crowd-%d-%d", &client, &n); err == nil {
+				_, _ = w.Write(make([]byte, largeReply>>(client%halvings))) // the agent sees whether it is whole
+				return
+			}
+			bookings.ServeHTTP(w, r)
+		},
+		newRequest: func(entryURL string, body io.Reader) (*http.Request, error) {
+			request, err := http.NewRequest(http.MethodPost, entryURL+bookingsPath, body)
+			if err == nil {
+				request.Header.Set("Idempotency-Key", fmt.Sprint("ordinary-", lastKey.Add(1)))
+			}
+			return request, err
+		},
+	}
+}
+
+// startEntry starts a fleet with a booking server.
+func startEntry(t *testing.T) (entry, agent, control *target) { return startFleet(t, bookingServer()) }
+
+// startFleet starts a control replica, an agent with a backend server, and an entry, each with the limits of a crowd's
 // target. The address of the control replica is its operators' port.
-func startEntry(t *testing.T) (entry, agent, control *target) {
+func startFleet(t *testing.T, b backend) (entry, agent, control *target) {
 	f := &entryFleet{t: t, program: buildProgram(t), folder: t.TempDir(), control: freeAddr(t), operators: make(map[string]string)}
 	for _, name := range []string{"fleet.secret", "operator.secret"} {
 		require.NoError(t, os.WriteFile(f.file(name), []byte(name+" of this test"), 0o600))
@@ -69,7 +108,7 @@
 	controlSettings := f.settings("control", limits+fmt.Sprintf("[control]\nlisten = %q\ndata-folder = %q\n", f.control, f.file("data")))
 	require.NoError(t, f.run("init", "--settings", controlSettings, "--replica", "control="+f.control))
 	controlProcess := startProcess(t, crowdDescriptors, f.program, "run", "--settings", controlSettings)
-	ticket := "number = 1\n[[zone]]\nname = \"gramado\"\n[[pool]]\nname = \"desk\"\nkind = \"service\"\nload-multiple = 1.5\nslots = 64\nfloor-slots = 64\ncold-slots = 64\nramp-step = 1\n" +
+	ticket := fmt.Sprintf("number = 1\n[[zone]]\nname = \"gramado\"\n[[pool]]\nname = \"desk\"\nkind = %q\nload-multiple = 1.5\nslots = %[2]d\nfloor-slots = %[2]d\ncold-slots = %[2]d\nramp-step = 1\n", b.kind, b.slots) +
 		fmt.Sprintf("[[customer]]\nname = \"hotel\"\nkey-hash = %q\nweight = 1\n", caller.KeyHash(apiKey)) +
 		"[[policy]]\nname = \"desk\"\npool = \"desk\"\nspill-hops = 3\nqueue-timeout-ms = 2000\n"
 	require.NoError(t, os.WriteFile(f.file("ticket.toml"), []byte(ticket), 0o600))
@@ -77,39 +116,28 @@
 		return f.run("ticket", "submit", "--operator", f.operators["control"], "--secret-file", f.file("operator.secret"), f.file("ticket.toml")) == nil
 	}, patience, crowdPause, "the ticket is accepted")
 
-	bookings := booking.NewServer(0).Handler()
-	server := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		var client, n int
-		if _, err := fmt.Sscanf(r.Header.Get("Idempotency-Key"), "crowd-%d-%d", &client, &n); err == nil {
-			_, _ = w.Write(make([]byte, largeReply>>(client%halvings))) // the agent sees whether it is whole
-			return
-		}
-		bookings.ServeHTTP(w, r)
-	})
 	agentAddr, entryAddr := freeAddr(t), freeAddr(t)
-	agentSettings := f.settings("agent", limits+fmt.Sprintf("[agent]\nlisten = %q\nserver = \"server-1\"\npool = \"desk\"\nkind = \"service\"\nbackend = \"http://%s\"\n", agentAddr, server))
+	agentSettings := f.settings("agent", limits+fmt.Sprintf("[agent]\nlisten = %q\nserver = \"server-1\"\npool = \"desk\"\nkind = %q\nbackend = \"http://%s\"\n", agentAddr, b.kind, serve(t, b.serve)))
 	entrySettings := f.settings("entry", limits+fmt.Sprintf("[entry]\nlisten = %q\nbalancer-delay = \"1s\"\n", entryAddr))
 	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	var lastKey atomic.Int64
 	call := func(body io.Reader) int {
-		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+entryAddr+bookingsPath, body)
+		request, err := b.newRequest("http://"+entryAddr, body)
 		require.NoError(t, err)
 		request.Header.Set("Authorization", "Bearer "+apiKey)
-		request.Header.Set("Idempotency-Key", fmt.Sprint("ordinary-", lastKey.Add(1)))
-		response, err := client.Do(request)
+		response, err := client.Do(request.WithContext(t.Context()))
 		if err != nil {
 			return 0
 		}
 		_, _ = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
-		if response.StatusCode == http.StatusCreated {
+		if response.StatusCode == b.status {
 			return http.StatusOK
 		}
 		return response.StatusCode
 	}
 	entry = &target{process: startProcess(t, crowdDescriptors, f.program, "run", "--settings", entrySettings), addr: entryAddr, call: call, legalBody: entryLegalBody}
 	agent = &target{process: startProcess(t, crowdDescriptors, f.program, "run", "--settings", agentSettings), addr: agentAddr, call: call, legalBody: entryLegalBody}
-	require.Eventually(t, func() bool { return call(strings.NewReader("{}")) == http.StatusOK }, patience, crowdPause, "the first booking")
+	require.Eventually(t, func() bool { return call(strings.NewReader("{}")) == http.StatusOK }, patience, crowdPause, "the first response")
 	control = &target{process: controlProcess, addr: f.operators["control"], call: call, legalBody: entryLegalBody}
 	return entry, agent, control
 }
--- a/cmd/bronzerill/memory_test.go
+++ b/cmd/bronzerill/memory_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -173,11 +175,25 @@
 	return listener.Addr().String()
 }
 
+// Ports of processes. They lie below those that the kernel gives to connections and to listeners without a port, which could take
+// one before its process does.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// freeAddr returns an address at which nothing listens.
 func freeAddr(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { require.NoError(t, listener.Close()) }()
-	return listener.Addr().String()
+	for {
+		addr := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", addr)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		require.NoError(t, err)
+		require.NoError(t, listener.Close())
+		return addr
+	}
 }
 
 func (p *process) await(what string, done func() bool) {
--- a/internal/agent/entry/response.go
+++ b/internal/agent/entry/response.go
@@ -12,12 +12,21 @@
 
 	"bronzerill"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/memory"
 )
 
 // windowBytes is the number of bytes of a long response that are kept for an entry
 // that reattaches, and the number that may be written before the entry reads them.
 const windowBytes = 256 << 10
 
+// Sizes that hold for each response.
+const (
+	// minWindowBytes is what a window may take, even if there is no memory for more.
+	minWindowBytes = 16 << 10
+	// frameBytes is the size of the largest frame. A frame is copied before it is sent.
+	frameBytes = 32 << 10
+)
+
 // response buffers the response of one exchange while it is being written. One
 // runner writes it, and any number of entries read it. It is safe for
 // concurrent use.
@@ -35,6 +44,10 @@
 	window []byte
 	start  int64
 	sum    *xxhash.Digest
+	// share is what the window takes if that exceeds minWindowBytes.
+	share memory.Share
+	// evicted is set once no other entry can find the response. Its window goes with the last reader then.
+	evicted bool
 	// end or failure is set once. Nothing is written after that.
 	end     *exchange.End
 	failure *exchange.Failure
@@ -53,13 +66,14 @@
 	settled bool
 }
 
-func newResponse(id exchange.ID, now time.Time, cancel context.CancelFunc) *response {
-	return &response{id: id, cancel: cancel, changed: make(chan struct{}), read: make(chan struct{}), sum: xxhash.New(), idleAt: now}
+// newResponse returns an empty response, whose window belongs to the budget.
+func newResponse(id exchange.ID, now time.Time, windows *memory.Budget, cancel context.CancelFunc) *response {
+	return &response{id: id, cancel: cancel, changed: make(chan struct{}), read: make(chan struct{}), sum: xxhash.New(), share: windows.NewShare(nil), idleAt: now}
 }
 
 // refusedResponse returns the tombstone of an ID that must never run.
 func refusedResponse(id exchange.ID, now time.Time, kind bronzerill.Kind) *response {
-	r := newResponse(id, now, func() {})
+	r := &response{id: id, cancel: func() {}, changed: make(chan struct{}), read: make(chan struct{}), idleAt: now}
 	r.failure = &exchange.Failure{Kind: kind}
 	r.closedAt = now
 	r.settled = true
@@ -80,12 +94,12 @@
 	r.notifyReaders()
 }
 
-// Write appends bytes to the response. It waits while windowBytes are unread, and fails
-// when the exchange is canceled meanwhile.
+// Write appends bytes to the response. It waits while windowBytes are unread, or fewer if there is no memory for these, and
+// fails when the exchange is canceled meanwhile.
 func (r *response) Write(p []byte) (int, error) {
 	written := 0
 	for written < len(p) {
-		part := p[written:min(len(p), written+windowBytes)]
+		part := p[written:min(len(p), written+minWindowBytes)]
 		read, fits := r.append(part)
 		if fits {
 			written += len(part)
@@ -100,7 +114,7 @@
 	return written, nil
 }
 
-// append appends a part of at most windowBytes. If too much is unread, it appends nothing and
+// append appends a part of at most minWindowBytes. If too much is unread, it appends nothing and
 // returns a channel that is closed when the reader goes on.
 func (r *response) append(part []byte) (read <-chan struct{}, fits bool) {
 	r.mu.Lock()
@@ -111,9 +125,10 @@
 	// Trimming only at twice the window keeps the amortized cost of a byte
 	// constant.
 	if len(r.window)+len(part) > 2*windowBytes {
-		cut := r.readOffset - windowBytes - r.start
-		r.window = append(r.window[:0], r.window[cut:]...)
-		r.start += cut
+		r.trim(windowBytes)
+	}
+	if !r.reserve(len(part)) {
+		return r.read, false
 	}
 	r.window = append(r.window, part...)
 	_, _ = r.sum.Write(part)
@@ -121,6 +136,34 @@
 	return nil, true
 }
 
+// trim removes what was read from the window but for a number of bytes. The caller holds the lock.
+func (r *response) trim(kept int64) {
+	if cut := r.readOffset - kept - r.start; cut > 0 {
+		r.window = append(r.window[:0], r.window[cut:]...)
+		r.start += cut
+	}
+}
+
+// reserve makes room for more bytes in the window. Without memory for a larger one, what was read has to go. It returns false if
+// too much is unread for that. The caller holds the lock.
+func (r *response) reserve(more int) bool {
+	if len(r.window)+more <= cap(r.window) {
+		return true
+	}
+	capacity := max(len(r.window)+more, min(2*cap(r.window), 2*windowBytes))
+	if capacity > minWindowBytes && !r.share.Resize(int64(capacity)) {
+		r.trim(0)
+		if len(r.window)+more <= cap(r.window) {
+			return true
+		}
+		if capacity = minWindowBytes; len(r.window)+more > capacity {
+			return false
+		}
+	}
+	r.window = append(make([]byte, 0, capacity), r.window...)
+	return true
+}
+
 // close ends the response. A nil error means that it is complete.
 func (r *response) close(now time.Time, err error) {
 	r.mu.Lock()
@@ -137,8 +180,15 @@
 	r.notifyReaders()
 }
 
-// framesFrom returns the frames from the offset on, and a channel that is
-// closed at the next change. last reports whether the response ends with these
+// closedChannel is a channel on which nobody waits.
+var closedChannel = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// framesFrom returns the next frames from the offset on, and a channel that is
+// closed when there are more. last reports whether the response ends with these
 // frames.
 func (r *response) framesFrom(offset int64, headSent bool) (frames []exchange.Frame, last bool, changed <-chan struct{}) {
 	r.mu.Lock()
@@ -151,8 +201,12 @@
 		return append(frames, exchange.Frame{Type: exchange.FrameFailure, Failure: failure}), true, r.changed
 	}
 	if end := r.start + int64(len(r.window)); offset < end {
-		data := append([]byte(nil), r.window[offset-r.start:]...)
+		next := min(end, offset+frameBytes)
+		data := append([]byte(nil), r.window[offset-r.start:next-r.start]...)
 		frames = append(frames, exchange.Frame{Type: exchange.FrameData, Offset: offset, Data: data})
+		if next < end {
+			return frames, false, closedChannel
+		}
 	}
 	switch {
 	case r.end != nil:
@@ -195,6 +249,22 @@
 	defer r.mu.Unlock()
 	r.readers--
 	r.idleAt = now
+	r.freeIfUnused()
+}
+
+// evict is called when no other entry can find the response any more.
+func (r *response) evict() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evicted = true
+	r.freeIfUnused()
+}
+
+// freeIfUnused gives back the memory of the window if nobody will read it. The caller holds the lock.
+func (r *response) freeIfUnused() {
+	if r.evicted && r.readers == 0 {
+		r.share.Free()
+	}
 }
 
 func (r *response) settle() {
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -81,7 +81,8 @@
 	Log   hclog.Logger
 	// Generation returns the generation of the agent process.
 	Generation func() uint64
-	// Memory is what the bodies of all requests may take. The default is defaultMemory.
+	// Memory is what the bodies of all requests may take. The responses may take as much beside it. The default is
+	// defaultMemory.
 	Memory *memory.Budget
 	// Pool and Zone are those of the backend server.
 	Pool string
@@ -106,7 +107,7 @@
 	}
 	return &Server{
 		cfg:   cfg,
-		table: newTable(cfg.Memory),
+		table: newTable(cfg.Memory.Size()),
 		gate:  admission.NewGate(cfg.Pool, cfg.Zone),
 		group: group,
 		ctx:   ctx,
@@ -274,7 +275,7 @@
 // start runs the exchange in the group and returns its response.
 func (s *Server) start(o exchange.Open, permit admission.Permit, trial bool) (*response, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, o.Timeout)
-	resp := newResponse(o.ID, s.cfg.Clock(), cancel)
+	resp := newResponse(o.ID, s.cfg.Clock(), s.table.windows, cancel)
 	resp.server = s.cfg.Name
 	resp.done = ctx.Done()
 	if kind := s.table.add(resp); kind != bronzerill.KindNone {
--- a/internal/agent/entry/stop_test.go
+++ b/internal/agent/entry/stop_test.go
@@ -15,6 +15,7 @@
 	"bronzerill"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
+	"bronzerill/internal/wire/memory"
 )
 
 // Guards against an agent that stops although an entry, whose connection broke, has yet to fetch
@@ -113,7 +114,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := newResponse(id(1), now, func() {})
+			r := newResponse(id(1), now, memory.NewBudget(defaultMemory), func() {})
 			test.change(r)
 			require.Equal(t, test.want, r.inUse(now.Add(test.after)))
 		})
--- a/internal/agent/entry/table.go
+++ b/internal/agent/entry/table.go
@@ -13,8 +13,8 @@
 const (
 	maxResponses = 8192
 	// maxRetained and maxRetainedBytes limit the finished responses that are
-	// kept for an entry that reattaches. With little memory they take less: as much as
-	// retainedPercent of the budget for bodies, beside it.
+	// kept for an entry that reattaches. With little memory they take less:
+	// retainedPercent of what all windows may take.
 	maxRetained      = 4096
 	maxRetainedBytes = 32 << 20
 	retainedPercent  = 50
@@ -35,6 +35,8 @@
 type table struct {
 	mu        sync.Mutex
 	responses map[exchange.ID]*response
+	// windows is what the windows of all responses may take, of those too that were evicted while an entry reads them.
+	windows *memory.Budget
 	// retained lists the finished responses and tombstones, oldest first.
 	// retainedBytes is the sum of their sizes.
 	retained      []retainedResponse
@@ -46,9 +48,12 @@
 	evictedAt time.Time
 }
 
-// newTable returns an empty table beside a budget for bodies.
-func newTable(bodies *memory.Budget) *table {
-	return &table{responses: make(map[exchange.ID]*response), maxBytes: int(min(maxRetainedBytes, bodies.Size()*retainedPercent/100))}
+// newTable returns an empty table whose windows may take a size in bytes.
+func newTable(windowBytes int64) *table {
+	return &table{
+		responses: make(map[exchange.ID]*response), windows: memory.NewBudget(windowBytes),
+		maxBytes: int(min(maxRetainedBytes, windowBytes*retainedPercent/100)),
+	}
 }
 
 // find returns the response of an ID, or nil if the ID is new. For an attach to
@@ -114,6 +119,9 @@
 	oldest := t.retained[0]
 	t.retained = t.retained[1:]
 	t.retainedBytes -= oldest.bytes
+	if r := t.responses[oldest.id]; r != nil {
+		r.evict()
+	}
 	delete(t.responses, oldest.id)
 }
 
--- a/internal/agent/entry/table_test.go
+++ b/internal/agent/entry/table_test.go
@@ -21,7 +21,7 @@
 
 // runExchange adds a complete response of the given size to the table.
 func runExchange(t *testing.T, tab *table, n, bytes int) {
-	r := newResponse(id(n), now, func() {})
+	r := newResponse(id(n), now, tab.windows, func() {})
 	require.Equal(t, bronzerill.KindNone, tab.add(r))
 	r.WriteHead(200, "", false, false)
 	_, _ = r.Write(make([]byte, bytes))
@@ -32,7 +32,7 @@
 // TestRetainedResponsesAreBounded finishes more responses within the retention
 // than the table may hold. If it kept them all, it would refuse new exchanges.
 func TestRetainedResponsesAreBounded(t *testing.T) {
-	tab := newTable(memory.NewBudget(defaultMemory))
+	tab := newTable(defaultMemory)
 	for n := range 3 * maxResponses {
 		runExchange(t, tab, n, 100)
 	}
@@ -42,7 +42,7 @@
 // TestDroppedResponseReportsOutcomeUnknown attaches to an exchange whose response
 // was evicted. The exchange ran, so the table must not report it as not run.
 func TestDroppedResponseReportsOutcomeUnknown(t *testing.T) {
-	tab := newTable(memory.NewBudget(defaultMemory))
+	tab := newTable(defaultMemory)
 	for n := range maxRetained + 1 {
 		runExchange(t, tab, n, 100)
 	}
@@ -54,7 +54,7 @@
 }
 
 func TestRetainedBytesAreBounded(t *testing.T) {
-	tab := newTable(memory.NewBudget(defaultMemory))
+	tab := newTable(defaultMemory)
 	for n := range 200 {
 		runExchange(t, tab, n, windowBytes)
 	}
@@ -67,7 +67,7 @@
 }
 
 func TestRetainedBytesFitLittleMemory(t *testing.T) {
-	tab := newTable(memory.NewBudget(1 << 20))
+	tab := newTable(1 << 20)
 	for n := range 20 {
 		runExchange(t, tab, n, 100_000)
 	}
@@ -76,7 +76,7 @@
 }
 
 func TestRetention(t *testing.T) {
-	tab := newTable(memory.NewBudget(defaultMemory))
+	tab := newTable(defaultMemory)
 	runExchange(t, tab, 1, 100)
 	tab.expire(now.Add(responseRetention))
 	assert.NotNil(t, tab.responses[id(1)])
@@ -85,7 +85,7 @@
 }
 
 func TestWindowBoundsLongResponse(t *testing.T) {
-	r := newResponse(id(1), now, func() {})
+	r := newResponse(id(1), now, memory.NewBudget(defaultMemory), func() {})
 	r.WriteHead(200, "", false, false)
 	part := make([]byte, 10_000)
 	reader := r.addReader(0)
@@ -103,9 +103,9 @@
 }
 
 func TestIdleExchangeIsCanceled(t *testing.T) {
-	tab := newTable(memory.NewBudget(defaultMemory))
+	tab := newTable(defaultMemory)
 	canceled := false
-	require.Equal(t, bronzerill.KindNone, tab.add(newResponse(id(1), now, func() { canceled = true })))
+	require.Equal(t, bronzerill.KindNone, tab.add(newResponse(id(1), now, tab.windows, func() { canceled = true })))
 	tab.expire(now.Add(exchange.AttachTimeout))
 	assert.False(t, canceled)
 	tab.expire(now.Add(exchange.AttachTimeout + time.Second))
