Sockets: what arrives and isn't read is limited

What callers saw: nothing yet. 400 clients that send on behind a request while it is being worked on made a router that may have 64 MB hold 80 to 85 MB, of which 42 MB were its own; the rest was what had arrived for it. The users' platform counts that as memory of the process, and a process above its memory is killed.

Cause: the kernel lets the buffers of a connection grow to several MB once its reader has been fast (here a body of some MB). The number of connections was derived from 64 KB each, with a note that this wasn't measured.

Ruled out: fewer connections, each would still hold 50 times as much as planned; to read on and count it, which holds as much.

Change: the sockets of HTTP ports and of connections to backend servers and agents have buffers of 32 KB for what arrives (the kernel takes up to 64 KB) and 64 KB for what is sent.

All tests of crowds of one target look at resident memory with unread bytes too, by the bound they have for the peak.

--- a/cmd/bronzerill/crowd_test.go
+++ b/cmd/bronzerill/crowd_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+// sendOn sends a whole request with a body, and then bytes until the connection is closed. It reads nothing. The bodies have the
+// sizes of sendBody.
+func sendOn(path string, body []byte) behavior {
+	return func(conn net.Conn, client int, id string) error {
+		first := body[:len(body)>>(client%halvings)]
+		head := requestHead(path, id, fmt.Sprintf("Content-Length: %d\r\n", len(first))) + "\r\n"
+		if _, err := conn.Write(append([]byte(head), first...)); err != nil {
+			return err
+		}
+		for {
+			if _, err := conn.Write(body); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 // sendText sends a text, in which ID stands for the ID of the request, and holds the connection.
 func sendText(text string) behavior {
 	return func(conn net.Conn, _ int, id string) error {
@@ -225,19 +242,21 @@
 // an ordinary request. Once the crowd is gone, it must serve the largest one.
 func (p *target) requireEndures(clients int, behave behavior) {
 	c := startCrowd(p.t, p.addr, clients, behave)
-	most := 0
+	most, held := 0, 0
 	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(crowdPause) {
 		p.requireRuns()
 		most = max(most, p.openDescriptors())
+		held = max(held, (p.residentBytes()+p.unreadBytes())>>20)
 	}
 	p.requireServed(0)
 	p.requireServed(ordinaryBody)
 	p.requireRuns()
 	most = max(most, p.openDescriptors())
 	peak := p.peakMB()
-	p.t.Logf("peak memory %d MB of %d, %d descriptors open of %d, %d connections", peak, crowdMemoryMB, most, crowdDescriptors, c.connects.Load())
+	p.t.Logf("peak memory %d MB of %d, %d MB with unread bytes, %d descriptors open of %d, %d connections", peak, crowdMemoryMB, held, most, crowdDescriptors, c.connects.Load())
 	c.end()
 	require.Less(p.t, peak, crowdMemoryMB)
+	require.Less(p.t, held, crowdMemoryMB, "with bytes that have arrived and weren't read")
 	require.LessOrEqual(p.t, most, maxOpenDescriptors)
 	p.requireServed(p.legalBody)
 }
@@ -328,10 +347,31 @@
 	}
 }
 
+// sendEvents sends a long stream.
+func sendEvents(w http.ResponseWriter, r *http.Request) {
+	id, _, _ := standin.ReadRequestHeaders(r)
+	standin.Sign(w, id, "s")
+	w.Header().Set("Content-Type", "text/event-stream")
+	event := []byte("data: " + strings.Repeat("x", 1000) + "\n\n")
+	for sent, err := 0, error(nil); err == nil && sent < 64<<20; sent += len(event) {
+		_, err = w.Write(event)
+	}
+}
+
+// unreadResponse sends a whole request, and reads no more than the start of the response.
+func unreadResponse(path string, bodyBytes int) behavior {
+	return func(conn net.Conn, _ int, id string) error {
+		head := requestHead(path, id, fmt.Sprintf("Content-Length: %d\r\n", bodyBytes)) + "\r\n"
+		if _, err := conn.Write(append([]byte(head), make([]byte, bodyBytes)...)); err != nil {
+			return err
+		}
+		return leaveUnread(conn)
+	}
+}
+
 // Guards against clients that don't read their responses (issue 52).
 func TestUnreadResponses(t *testing.T) {
 	large := make([]byte, legalBody)
-	events := []byte("data: " + strings.Repeat("x", 1000) + "\n\n")
 	services := func() map[string]http.HandlerFunc {
 		return map[string]http.HandlerFunc{
 			"large": func(w http.ResponseWriter, r *http.Request) {
@@ -340,14 +380,7 @@
 				size, _ := strconv.Atoi(path.Base(r.URL.Path))
 				_, _ = w.Write(large[:size])
 			},
-			"events": func(w http.ResponseWriter, r *http.Request) {
-				id, _, _ := standin.ReadRequestHeaders(r)
-				standin.Sign(w, id, "s")
-				w.Header().Set("Content-Type", "text/event-stream")
-				for sent, err := 0, error(nil); err == nil && sent < 64<<20; sent += len(events) {
-					_, err = w.Write(events)
-				}
-			},
+			"events": sendEvents,
 		}
 	}
 	tests := map[string]struct {
@@ -363,16 +396,49 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			startCrowded(t, services()).requireEndures(test.clients, func(conn net.Conn, client int, id string) error {
-				head := requestHead(fmt.Sprint(test.path, len(large)>>(client%halvings)), id, fmt.Sprintf("Content-Length: %d\r\n", test.body)) + "\r\n"
-				if _, err := conn.Write(append([]byte(head), make([]byte, test.body)...)); err != nil {
-					return err
-				}
-				return leaveUnread(conn)
+				return unreadResponse(fmt.Sprint(test.path, len(large)>>(client%halvings)), test.body)(conn, client, id)
 			})
 		})
 	}
 }
 
+// Guards against bytes that arrive and that the process doesn't read for the time being: they take memory of its machine, too
+// (issue 52).
+func TestUnreadBytesFitTheMemory(t *testing.T) {
+	const memoryMB, clients = 64, 400
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		id, _, _ := standin.ReadRequestHeaders(r)
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-r.Context().Done():
+		case <-time.After(crowdTime):
+		}
+		standin.Sign(w, id, "s")
+	}
+	tests := map[string]struct {
+		handler http.HandlerFunc
+		behave  behavior
+	}{
+		"behind a request":            {slow, sendOn("/service/repeatable/x", make([]byte, legalBody))},
+		"of a stream that isn't read": {sendEvents, unreadResponse("/service/stream/x", 0)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := startRouterWith(t, routerConfig{services: map[string]http.HandlerFunc{"service": test.handler}, memoryMB: memoryMB}).target()
+			c := startCrowd(t, p.addr, clients, test.behave)
+			held := 0
+			for end := time.Now().Add(2 * crowdTime); time.Now().Before(end); time.Sleep(crowdPause) {
+				p.requireRuns()
+				held = max(held, (p.residentBytes()+p.unreadBytes())>>20)
+			}
+			p.requireServed(0)
+			t.Logf("%d MB with unread bytes of %d, peak memory %d MB, %d connections", held, memoryMB, p.peakMB(), c.connects.Load())
+			require.Less(t, held, memoryMB)
+			require.Less(t, p.peakMB(), memoryMB)
+		})
+	}
+}
+
 // Guards against requests that wait without end for the rest of their body (issue 52).
 func TestUnfinishedBodyIsAnswered(t *testing.T) {
 	tests := map[string]struct{ path, fields, body string }{
--- a/cmd/bronzerill/memory_test.go
+++ b/cmd/bronzerill/memory_test.go
@@ -361,3 +361,43 @@
 		}
 	})
 }
+
+// residentBytes returns the resident memory of the process.
+func (p *process) residentBytes() int {
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	require.NoError(p.t, err, "the process runs")
+	var size, resident int
+	_, err = fmt.Sscan(string(statm), &size, &resident)
+	require.NoError(p.t, err)
+	return resident * os.Getpagesize()
+}
+
+// unreadBytes returns how many bytes have arrived for the process that it hasn't read.
+func (p *process) unreadBytes() int {
+	folder := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
+	entries, err := os.ReadDir(folder)
+	require.NoError(p.t, err, "the process runs")
+	sockets := make(map[string]bool)
+	for _, entry := range entries {
+		// A descriptor may have been closed meanwhile.
+		if target, err := os.Readlink(filepath.Join(folder, entry.Name())); err == nil {
+			sockets[target] = true
+		}
+	}
+	table, err := os.ReadFile("/proc/net/tcp")
+	require.NoError(p.t, err)
+	sum := 0
+	for line := range strings.Lines(string(table)) {
+		const states, queues, inode = 3, 4, 9
+		fields := strings.Fields(line)
+		// The queue of a listener counts connections.
+		if len(fields) <= inode || fields[states] == "0A" || !sockets["socket:["+fields[inode]+"]"] {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[queues], ":")
+		n, err := strconv.ParseInt(received, 16, 64)
+		require.NoError(p.t, err)
+		sum += int(n)
+	}
+	return sum
+}
--- a/internal/agent/service/client.go
+++ b/internal/agent/service/client.go
@@ -21,6 +21,7 @@
 	"bronzerill/internal/wire/httpheader"
 	"bronzerill/internal/wire/httpresponse"
 	"bronzerill/internal/wire/memory"
+	"bronzerill/internal/wire/tcp"
 )
 
 // Limits of one call.
@@ -96,7 +97,7 @@
 // transport returns a transport for one call. It sets connected when it has
 // made a connection, since bytes may reach the service from then on.
 func (c *Client) transport(connected *atomic.Bool) *httpresponse.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: tcp.LimitBuffers}
 	return httpresponse.NewTransport(&http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
--- a/internal/entry/agent/client.go
+++ b/internal/entry/agent/client.go
@@ -16,6 +16,7 @@
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/exchange"
 	"bronzerill/internal/wire/httpresponse"
+	"bronzerill/internal/wire/tcp"
 )
 
 // Limits and timeouts of the client.
@@ -84,7 +85,7 @@
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
 	if cfg.Dialer == nil {
-		cfg.Dialer = &net.Dialer{Timeout: dialTimeout}
+		cfg.Dialer = &net.Dialer{Timeout: dialTimeout, Control: tcp.LimitBuffers}
 	}
 	c := &Client{cfg: cfg}
 	c.shared = &http.Client{Transport: c.newTransport(false)}
--- a/internal/router/server/conn.go
+++ b/internal/router/server/conn.go
@@ -178,7 +178,10 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
+		Control: func(network, address string, raw syscall.RawConn) error {
+			if err := tcp.LimitBuffers(network, address, raw); err != nil {
+				return err
+			}
 			var optionErr error
 			err := raw.Control(func(fd uintptr) {
 				optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout/time.Millisecond))
--- a/internal/wire/httpport/port.go
+++ b/internal/wire/httpport/port.go
@@ -13,6 +13,7 @@
 
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/memory"
+	"bronzerill/internal/wire/tcp"
 )
 
 // Timing of a stop.
@@ -76,15 +77,16 @@
 
 // Listen opens a port at a TCP address.
 func Listen(addr string, cfg Config) (*Port, error) {
-	listener, err := net.Listen("tcp", addr)
+	config := net.ListenConfig{Control: tcp.LimitBuffers}
+	listener, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := listener.(*net.TCPListener)
+	tcpListener, ok := listener.(*net.TCPListener)
 	if !ok {
 		return nil, errors.Errorf("listener of type %T", listener)
 	}
-	return &Port{TCPListener: tcp, cfg: cfg.withDefaults(), conns: make(map[*portConn]struct{}), lingering: make(map[*portConn]struct{}), roomMade: make(chan struct{}, 1), closed: make(chan struct{})}, nil
+	return &Port{TCPListener: tcpListener, cfg: cfg.withDefaults(), conns: make(map[*portConn]struct{}), lingering: make(map[*portConn]struct{}), roomMade: make(chan struct{}, 1), closed: make(chan struct{})}, nil
 }
 
 // connKey is the context key of a request's connection.
--- a/internal/wire/httpresponse/transport.go
+++ b/internal/wire/httpresponse/transport.go
@@ -29,7 +29,7 @@
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
-		dial = new(net.Dialer).DialContext
+		dial = (&net.Dialer{Control: tcp.LimitBuffers}).DialContext
 	}
 	t := &Transport{Transport: base, closeGrace: tcp.CloseGrace}
 	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
