Ports: the rest of a body that nobody reads yields first

What callers saw: beside 612 clients that send 1 KB of 200 KB to a route that doesn't exist, and stay, 275 of 276 requests with a body of 256 KB got no answer in 20 s.

Cause: a refused request holds its connection for the second that the rest of its body may take, and counted as being worked on meanwhile, so it never yielded, and half a second more while the http.Server waits before it closes. 102 such connections fill the port.

Ruled out: to close at once, which would lose the refusal of a legal client that is still sending.

Change: the rest of a body is a phase of its own. Such a connection yields before all others after 50 ms, as one on which nothing follows; then its refusal is sent. One that has yielded its body may yield again while it closes. At a port that isn't full, the second holds.

TestRefusedRequests, unknown route: not served on, served now; the other three kinds passed before and guard.

--- a/cmd/bronzerill/crowd_test.go
+++ b/cmd/bronzerill/crowd_test.go
@@ -332,6 +332,23 @@
 	}
 }
 
+// Guards against clients that hold connections with requests that are refused unread
+// (issue 52).
+func TestRefusedRequests(t *testing.T) {
+	unfinished := "Content-Length: 200000\r\n\r\n" + strings.Repeat("x", 1000)
+	tests := map[string]string{
+		"unknown route":    requestHead("/none/x", "ID", unfinished),
+		"without an ID":    "POST /sound/repeatable/x HTTP/1.1\r\nHost: h\r\n" + unfinished,
+		"announced large":  requestHead("/sound/repeatable/x", "ID", "Content-Length: 1073741824\r\n\r\n"),
+		"expects to go on": requestHead("/sound/repeatable/x", "ID", "Expect: 100-continue\r\nContent-Length: 1000\r\n\r\n"),
+	}
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) {
+			startCrowded(t, nil).requireEndures(crowdDescriptors+100, sendText(sent))
+		})
+	}
+}
+
 // Guards against clients that take all descriptors: with connections on which they send nothing, or nothing more
 // after a request (issue 52).
 func TestIdleConnections(t *testing.T) {
--- a/internal/wire/httpport/body.go
+++ b/internal/wire/httpport/body.go
@@ -100,9 +100,12 @@
 	return n, err
 }
 
-// limitRest limits how long the http.Server waits for what was not read of the body.
+// limitRest limits how long the http.Server waits for what was not read of the body. Others need not wait for it.
 func (b *body) limitRest() {
-	if !b.ended {
-		b.conn.limitBodyRead(b.conn.cfg.Clock().Add(unreadTimeout))
+	if b.ended {
+		return
 	}
+	now := b.conn.cfg.Clock()
+	b.conn.transfer.Begin(now, memory.PhaseDiscarding)
+	b.conn.limitBodyRead(now.Add(unreadTimeout))
 }
--- a/internal/wire/httpport/conn.go
+++ b/internal/wire/httpport/conn.go
@@ -186,6 +186,13 @@
 	c.gone = !c.transfer.Begin(now, memory.PhaseWorking)
 }
 
+// isGone reports whether the connection was closed before the head of the request had been read.
+func (c *portConn) isGone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gone
+}
+
 // setIdle is called at the end of a response.
 func (c *portConn) setIdle(now time.Time) {
 	c.head.Free()
@@ -210,13 +217,6 @@
 	return c.served
 }
 
-// isGone reports whether the connection was closed before the head of the request had been read.
-func (c *portConn) isGone() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.gone
-}
-
 // end gives back what the connection takes.
 func (c *portConn) end() {
 	c.head.Free()
@@ -259,7 +259,7 @@
 		return c.release() && counted(metrics.EventYieldedIdle)
 	case memory.PhaseHead:
 		return c.closeInHead() && counted(metrics.EventYieldedHead)
-	case memory.PhaseBody:
+	case memory.PhaseBody, memory.PhaseDiscarding:
 		c.refuseBody()
 		return counted(metrics.EventYieldedBody)
 	case memory.PhaseSending:
@@ -304,6 +304,11 @@
 func (c *portConn) limitBodyRead(until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.setBodyDeadline(until)
+}
+
+// setBodyDeadline is limitBodyRead for a caller that holds the lock.
+func (c *portConn) setBodyDeadline(until time.Time) {
 	if !c.refused {
 		_ = c.TCPConn.SetReadDeadline(until) // as above
 	}
--- a/internal/wire/httpport/limit.go
+++ b/internal/wire/httpport/limit.go
@@ -87,14 +87,14 @@
 
 // The ranks, the first one first.
 const (
-	// rankClosing is a connection on which nothing follows.
+	// rankClosing is a connection on which nothing follows but a response that was decided without the rest of the request.
 	rankClosing yieldRank = iota
 	// rankStalled is one whose client has stalled within a request or response.
 	rankStalled
 	// rankUnused is one on which no request came soon.
 	rankUnused
-	// rankLast is one whose last response was just written. It yields soon, so others wait for it rather than take one
-	// of the ranks below.
+	// rankLast is one that is going to be rankClosing. It yields soon, so others wait for it rather than take one of the
+	// ranks below.
 	rankLast
 	// rankIdle is one between two requests.
 	rankIdle
@@ -111,12 +111,13 @@
 func (c *portConn) rank(now time.Time) (yieldRank, time.Time) {
 	phase, since := c.transfer.Phase()
 	age := now.Sub(since)
+	isLast := phase == memory.PhaseDiscarding || phase == memory.PhaseClosing
 	switch {
 	case phase == memory.PhaseWorking:
 		return rankWorking, since
-	case phase == memory.PhaseClosing && age < closingGrace:
+	case isLast && age < closingGrace:
 		return rankLast, since
-	case phase == memory.PhaseClosing:
+	case isLast:
 		return rankClosing, since
 	case phase == memory.PhaseIdle && c.wasServed():
 		return rankIdle, since
--- a/internal/wire/memory/transfer.go
+++ b/internal/wire/memory/transfer.go
@@ -23,6 +23,8 @@
 	PhaseWorking
 	// PhaseSending is while the client is to read a response.
 	PhaseSending
+	// PhaseDiscarding is while the rest of a body is being received that nobody reads.
+	PhaseDiscarding
 	// PhaseClosing lasts from the last response until the connection is closed.
 	PhaseClosing
 )
@@ -43,7 +45,7 @@
 	progressedAt time.Time
 	// partial counts the bytes since progressedAt. It is below progressBytes.
 	partial int
-	// yielded is set once the connection was made to yield, until the next request.
+	// yielded is set once the connection was made to yield, until the next request or until it closes.
 	yielded bool
 }
 
@@ -67,7 +69,7 @@
 func (t *Transfer) Begin(now time.Time, phase Phase) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if phase == PhaseIdle || t.phase == PhaseIdle {
+	if phase == PhaseIdle || phase == PhaseClosing || t.phase == PhaseIdle {
 		t.yielded = false
 	}
 	if phase != t.phase {
