Ports: requests that net/http answers by itself don't hold connections

What callers saw: beside 612 clients that send "OPTIONS * HTTP/1.1", or a request with an Expect field other than 100-continue, with a body that stops short of its end, no ordinary request got an answer in 20 s. Such a client held its connection for as long as it liked.

Cause: the http.Server answers these two without the handler of the port, so that the limits of bodies didn't apply, and it reads up to 256 KB of their bodies without a time limit. The connections counted as being worked on and never yielded.

Ruled out: http.Server.ReadTimeout, which limits whole uploads; DisableGeneralOptionsHandler, which leaves the other case.

Change: a read of a body that no handler has is limited by the stall timeout, whatever the reason, and its connection yields as one of a refused request. The limit ends when a handler gets the request.

TestRefusedRequests, options with a length and in chunks and another expectation: not served on, served now.

--- a/cmd/bronzerill/crowd_test.go
+++ b/cmd/bronzerill/crowd_test.go
@@ -332,15 +332,18 @@
 	}
 }
 
-// Guards against clients that hold connections with requests that are refused unread
+// Guards against clients that hold connections with requests that no handler of the router sees, or that are refused unread
 // (issue 52).
 func TestRefusedRequests(t *testing.T) {
 	unfinished := "Content-Length: 200000\r\n\r\n" + strings.Repeat("x", 1000)
 	tests := map[string]string{
-		"unknown route":    requestHead("/none/x", "ID", unfinished),
-		"without an ID":    "POST /sound/repeatable/x HTTP/1.1\r\nHost: h\r\n" + unfinished,
-		"announced large":  requestHead("/sound/repeatable/x", "ID", "Content-Length: 1073741824\r\n\r\n"),
-		"expects to go on": requestHead("/sound/repeatable/x", "ID", "Expect: 100-continue\r\nContent-Length: 1000\r\n\r\n"),
+		"options of the server":         "OPTIONS * HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n123",
+		"options of the server, chunks": "OPTIONS * HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123",
+		"unknown route":                 requestHead("/none/x", "ID", unfinished),
+		"without an ID":                 "POST /sound/repeatable/x HTTP/1.1\r\nHost: h\r\n" + unfinished,
+		"announced large":               requestHead("/sound/repeatable/x", "ID", "Content-Length: 1073741824\r\n\r\n"),
+		"expects to go on":              requestHead("/sound/repeatable/x", "ID", "Expect: 100-continue\r\nContent-Length: 1000\r\n\r\n"),
+		"other expectation":             requestHead("/sound/repeatable/x", "ID", "Expect: x\r\n"+unfinished),
 	}
 	for name, sent := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/wire/httpport/body.go
+++ b/internal/wire/httpport/body.go
@@ -30,7 +30,7 @@
 func boundBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connKey{}).(*portConn)
-		if ok && conn.isGone() {
+		if ok && !conn.beginHandling(conn.cfg.Clock()) {
 			panic(http.ErrAbortHandler)
 		}
 		if !ok || r.Body == nil || r.Body == http.NoBody {
--- a/internal/wire/httpport/conn.go
+++ b/internal/wire/httpport/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,6 +53,8 @@
 	inHead     bool
 	headMemory int64
 	headEnd    headEnd
+	// unhandled is set from the end of the head of a request until a handler has it. The http.Server answers some by itself.
+	unhandled atomic.Bool
 	// gone is set if the connection was closed before the head of a request had been read.
 	gone bool
 	// readDeadline is the deadline that the http.Server has set.
@@ -69,6 +72,9 @@
 
 // Read reads the next bytes of a request. If there is no memory for its head, the http.Server closes the connection.
 func (c *portConn) Read(p []byte) (int, error) {
+	if c.unhandled.Load() {
+		c.limitUnhandled(c.cfg.Clock())
+	}
 	n, err := c.TCPConn.Read(p)
 	if n == 0 {
 		return n, err
@@ -143,6 +149,19 @@
 	return c.TCPConn.SetReadDeadline(c.readDeadline)
 }
 
+// limitUnhandled limits the next read if it is for the body of a request that no handler has: the http.Server reads such
+// bodies, without a limit, before it answers.
+func (c *portConn) limitUnhandled(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.unhandled.Load() {
+		return // a handler has it meanwhile
+	}
+	c.transfer.Begin(now, memory.PhaseDiscarding)
+	_, since := c.transfer.Phase()
+	c.setBodyDeadline(since.Add(c.cfg.StallTimeout))
+}
+
 // countHead returns what a head takes with the bytes that have arrived, 0 if they belong to none.
 func (c *portConn) countHead(data []byte) int64 {
 	c.mu.Lock()
@@ -183,14 +202,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refused, c.inHead, c.headMemory, c.headEnd = false, false, 0, headEnd{}
+	c.unhandled.Store(true)
 	c.gone = !c.transfer.Begin(now, memory.PhaseWorking)
 }
 
-// isGone reports whether the connection was closed before the head of the request had been read.
-func (c *portConn) isGone() bool {
+// beginHandling is called when a handler gets the request. It returns false if the connection was made to yield before.
+func (c *portConn) beginHandling(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.gone
+	c.unhandled.Store(false)
+	if !c.transfer.Begin(now, memory.PhaseWorking) || c.gone {
+		return false
+	}
+	// The limit of unhandled requests no longer holds. If this fails, the connection is closed already.
+	_ = c.TCPConn.SetReadDeadline(c.readDeadline)
+	return true
 }
 
 // setIdle is called at the end of a response.
@@ -199,6 +225,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.inHead, c.served = false, true, true
+	c.unhandled.Store(false)
 	c.transfer.Begin(now, memory.PhaseIdle)
 }
 
--- a/internal/wire/httpport/headend_test.go
+++ b/internal/wire/httpport/headend_test.go
@@ -49,7 +49,7 @@
 	receive("\r\n")
 	require.False(t, c.transfer.Yield())
 	c.beginWork(time.Now())
-	require.False(t, c.isGone())
+	require.True(t, c.beginHandling(time.Now()))
 	c.setIdle(time.Now())
 	receive(unfinishedHead)
 	require.True(t, c.transfer.Yield(), "the head of the next request isn't whole")
