Limits: the roles of one process share its connections

What callers saw: nothing yet. A process with an entry and an agent gave each port all connections that the process can bear: a fifth of the descriptors, which with the calls to servers makes 6 in 5 of all, and a quarter of the memory twice.

Cause: the limits were derived for one port of callers.

Change: ports of callers and entries in one process share both. TestRolesOfOneProcessShareItsLimits fails without it (two of five cases).

--- a/internal/run/limits/limits.go
+++ b/internal/run/limits/limits.go
@@ -34,7 +34,7 @@
 
 // Limits of the number of connections.
 const (
-	// One in callerDivisor descriptors may be a caller's connection. The requests on these take up to twice as many for calls
+	// One in callerDivisor descriptors may be a connection of a caller or an entry. The requests on these take up to twice as many for calls
 	// to servers. What is left is for other ports, peers and files.
 	callerDivisor = 5
 	// One in otherDivisor descriptors may be a connection of each other port, and minOther at least.
@@ -49,7 +49,8 @@
 type Limits struct {
 	// Memory is what the bodies and long heads of all requests and responses may take.
 	Memory *memory.Budget
-	// Connections is how many connections the port for callers may have open, and OtherConnections each other port.
+	// Connections is how many connections each port for callers or entries may have open, and OtherConnections each other
+	// port.
 	Connections, OtherConnections int
 	// StallTimeout is how long a client may take for the next part of a request or response.
 	StallTimeout time.Duration
@@ -74,15 +75,16 @@
 
 // derive returns the limits of a process that may have a number of descriptors open.
 func derive(s file.Settings, descriptors int) Limits {
+	ports := callerPorts(s)
 	l := Limits{
-		Connections:      min(maxCallers, max(1, descriptors/callerDivisor)),
+		Connections:      min(maxCallers, max(1, descriptors/callerDivisor/ports)),
 		OtherConnections: min(maxOther, max(minOther, descriptors/otherDivisor)),
 		StallTimeout:     s.Limits.StallTimeout.Duration,
 	}
 	bodies := int64(defaultBodyMemory)
 	if bytes := s.MemoryBytes(); bytes > 0 {
 		bodies = share(bytes, bodyPercent)
-		l.Connections = min(l.Connections, int(share(bytes, connectionPercent)/connectionMemory))
+		l.Connections = min(l.Connections, int(share(bytes, connectionPercent)/connectionMemory)/ports)
 	}
 	if s.Limits.MaxConnections > 0 {
 		l.Connections = s.Limits.MaxConnections
@@ -91,6 +93,17 @@
 	return l
 }
 
+// callerPorts returns how many ports of the process are for callers or entries, 1 at least. They share what connections may take.
+func callerPorts(s file.Settings) int {
+	ports := 0
+	for _, has := range []bool{s.Router != nil, s.Entry != nil, s.Agent != nil} {
+		if has {
+			ports++
+		}
+	}
+	return max(1, ports)
+}
+
 // share returns a percentage of a number of bytes. It can't overflow.
 func share(bytes, percent int64) int64 { return bytes/100*percent + bytes%100*percent/100 }
 
--- a/internal/run/limits/limits_test.go
+++ b/internal/run/limits/limits_test.go
@@ -45,3 +45,27 @@
 		require.LessOrEqual(t, 3*l.Connections+3*l.OtherConnections, descriptors*95/100, "%d descriptors", descriptors)
 	}
 }
+
+// Guards against a process with several roles whose ports together take more than the process has (issue 52).
+func TestRolesOfOneProcessShareItsLimits(t *testing.T) {
+	tests := map[string]struct {
+		settings file.Settings
+		ports    int
+	}{
+		"router":             {file.Settings{Router: new(file.Router)}, 1},
+		"entry":              {file.Settings{Entry: new(file.Entry)}, 1},
+		"agent and control":  {file.Settings{Agent: new(file.Agent), Replica: new(file.Replica)}, 1},
+		"entry and agent":    {file.Settings{Entry: new(file.Entry), Agent: new(file.Agent)}, 2},
+		"all roles of a set": {file.Settings{Entry: new(file.Entry), Agent: new(file.Agent), Replica: new(file.Replica)}, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, descriptors := range []int{512, 4100, 1 << 20} {
+				test.settings.Limits.MemoryMB = 284
+				l := derive(test.settings, descriptors)
+				require.LessOrEqual(t, 3*test.ports*l.Connections+3*l.OtherConnections, descriptors*95/100, "%d descriptors", descriptors)
+				require.LessOrEqual(t, test.ports*l.Connections*connectionMemory, 284<<20*connectionPercent/100, "%d descriptors", descriptors)
+			}
+		})
+	}
+}
