Soak: clients that send on, and requests that no handler sees

The crowd sends bytes behind whole requests, unfinished bodies to OPTIONS *, with an unknown expectation and to unknown routes.

--- a/cmd/bronzerill-soak/crowd.go
+++ b/cmd/bronzerill-soak/crowd.go
@@ -38,7 +38,8 @@
 	filler := strings.Repeat("x", random.IntN(crowdBody))
 	head := "POST /once/x HTTP/1.1\r\nHost: h\r\n" + standin.IDField(crowdPrefix+id)
 	chunks := head + "Transfer-Encoding: chunked\r\n\r\n"
-	switch random.IntN(9) {
+	stream := "POST /resumable/" + id + " HTTP/1.1\r\nHost: h\r\n" + standin.IDField(id) + "Content-Length: 1\r\n\r\n1"
+	switch random.IntN(13) {
 	case 0:
 		return "", false
 	case 1:
@@ -54,7 +55,15 @@
 	case 6:
 		return chunks + strings.Repeat("10000\r\n"+strings.Repeat("x", 1<<16)+"\r\n", 160), false
 	case 7:
-		return "POST /resumable/" + id + " HTTP/1.1\r\nHost: h\r\n" + standin.IDField(id) + "Content-Length: 1\r\n\r\n1", true
+		return stream, true
+	case 8:
+		return stream + filler, true
+	case 9:
+		return "OPTIONS * HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n123", false
+	case 10:
+		return head + "Expect: x\r\nContent-Length: 10\r\n\r\n123", false
+	case 11:
+		return strings.Replace(head, "/once/", "/none/", 1) + "Content-Length: 200000\r\n\r\n123", false
 	}
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(filler)+1, filler), false
 }
