Log: entries, agents and control replicas never wait for its output

What callers saw: nothing in production yet. With a log that nobody reads, 150 clients without a key made an entry hang: no ordinary request got an answer in 20 s.

Cause: each refusal writes a line to standard error, under the lock of the logger. Once the pipe is full (64 KB, some 300 lines), the line waits, and all other requests behind it. A router whose output had stalled would in turn never end after SIGTERM: the queue waited for its last lines.

Ruled out: no lines for refusals, since operators go by them.

Change: all roles log through the queue, which counts what it drops (log-lines-dropped) and gives its last lines a second at a stop. Entries and agents write 200 lines of failed requests a second at most, like routers; log-lines-left-out counts the rest. A closed pipe doesn't end the process.

TestEntryEnduresStalledLog: not served on, served now. TestRunEndsAlthoughTheOutputHasStalled: still waits after 10 s on.

--- a/cmd/bronzerill/entrycrowd_test.go
+++ b/cmd/bronzerill/entrycrowd_test.go
@@ -95,11 +95,20 @@
 }
 
 // startEntry starts a fleet with a booking server.
-func startEntry(t *testing.T) (entry, agent, control *target) { return startFleet(t, bookingServer()) }
+func startEntry(t *testing.T) (entry, agent, control *target) {
+	return startFleet(t, fleetConfig{backend: bookingServer(), entryLog: t.Output()})
+}
+
+// fleetConfig configures a fleet of a test.
+type fleetConfig struct {
+	backend
+	// entryLog gets the log of the entry.
+	entryLog io.Writer
+}
 
 // startFleet starts a control replica, an agent with a backend server, and an entry, each with the limits of a crowd's
 // target. The address of the control replica is its operators' port.
-func startFleet(t *testing.T, b backend) (entry, agent, control *target) {
+func startFleet(t *testing.T, cfg fleetConfig) (entry, agent, control *target) {
 	f := &entryFleet{t: t, program: buildProgram(t), folder: t.TempDir(), control: freeAddr(t), operators: make(map[string]string)}
 	for _, name := range []string{"fleet.secret", "operator.secret"} {
 		require.NoError(t, os.WriteFile(f.file(name), []byte(name+" of this test"), 0o600))
@@ -108,7 +117,7 @@
 	controlSettings := f.settings("control", limits+fmt.Sprintf("[control]\nlisten = %q\ndata-folder = %q\n", f.control, f.file("data")))
 	require.NoError(t, f.run("init", "--settings", controlSettings, "--replica", "control="+f.control))
 	controlProcess := startProcess(t, crowdDescriptors, f.program, "run", "--settings", controlSettings)
-	ticket := fmt.Sprintf("number = 1\n[[zone]]\nname = \"gramado\"\n[[pool]]\nname = \"desk\"\nkind = %q\nload-multiple = 1.5\nslots = %[2]d\nfloor-slots = %[2]d\ncold-slots = %[2]d\nramp-step = 1\n", b.kind, b.slots) +
+	ticket := fmt.Sprintf("number = 1\n[[zone]]\nname = \"gramado\"\n[[pool]]\nname = \"desk\"\nkind = %q\nload-multiple = 1.5\nslots = %[2]d\nfloor-slots = %[2]d\ncold-slots = %[2]d\nramp-step = 1\n", cfg.kind, cfg.slots) +
 		fmt.Sprintf("[[customer]]\nname = \"hotel\"\nkey-hash = %q\nweight = 1\n", caller.KeyHash(apiKey)) +
 		"[[policy]]\nname = \"desk\"\npool = \"desk\"\nspill-hops = 3\nqueue-timeout-ms = 2000\n"
 	require.NoError(t, os.WriteFile(f.file("ticket.toml"), []byte(ticket), 0o600))
@@ -117,11 +126,11 @@
 	}, patience, crowdPause, "the ticket is accepted")
 
 	agentAddr, entryAddr := freeAddr(t), freeAddr(t)
-	agentSettings := f.settings("agent", limits+fmt.Sprintf("[agent]\nlisten = %q\nserver = \"server-1\"\npool = \"desk\"\nkind = %q\nbackend = \"http://%s\"\n", agentAddr, b.kind, serve(t, b.serve)))
+	agentSettings := f.settings("agent", limits+fmt.Sprintf("[agent]\nlisten = %q\nserver = \"server-1\"\npool = \"desk\"\nkind = %q\nbackend = \"http://%s\"\n", agentAddr, cfg.kind, serve(t, cfg.serve)))
 	entrySettings := f.settings("entry", limits+fmt.Sprintf("[entry]\nlisten = %q\nbalancer-delay = \"1s\"\n", entryAddr))
 	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	call := func(body io.Reader) int {
-		request, err := b.newRequest("http://"+entryAddr, body)
+		request, err := cfg.newRequest("http://"+entryAddr, body)
 		require.NoError(t, err)
 		request.Header.Set("Authorization", "Bearer "+apiKey)
 		response, err := client.Do(request.WithContext(t.Context()))
@@ -130,12 +139,12 @@
 		}
 		_, _ = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
-		if response.StatusCode == b.status {
+		if response.StatusCode == cfg.status {
 			return http.StatusOK
 		}
 		return response.StatusCode
 	}
-	entry = &target{process: startProcess(t, crowdDescriptors, f.program, "run", "--settings", entrySettings), addr: entryAddr, call: call, legalBody: entryLegalBody}
+	entry = &target{process: startProcessTo(t, cfg.entryLog, crowdDescriptors, f.program, "run", "--settings", entrySettings), addr: entryAddr, call: call, legalBody: entryLegalBody}
 	agent = &target{process: startProcess(t, crowdDescriptors, f.program, "run", "--settings", agentSettings), addr: agentAddr, call: call, legalBody: entryLegalBody}
 	require.Eventually(t, func() bool { return call(strings.NewReader("{}")) == http.StatusOK }, patience, crowdPause, "the first response")
 	control = &target{process: controlProcess, addr: f.operators["control"], call: call, legalBody: entryLegalBody}
@@ -166,6 +175,18 @@
 	}
 }
 
+// Guards against a process that hangs since nobody reads its log, to which clients make it write (issue 52).
+func TestEntryEnduresStalledLog(t *testing.T) {
+	unread, log, err := os.Pipe()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = unread.Close()
+		_ = log.Close()
+	})
+	entry, _, _ := startFleet(t, fleetConfig{backend: bookingServer(), entryLog: log})
+	entry.requireEndures(bodyClients, sendText("POST "+bookingsPath+" HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+}
+
 // Guards against connections to an agent that take its memory or its descriptors (issue 52).
 func TestAgentEnduresCrowds(t *testing.T) {
 	tests := map[string]string{
--- a/cmd/bronzerill/memory_test.go
+++ b/cmd/bronzerill/memory_test.go
@@ -127,11 +127,16 @@
 // startProcess starts a process that may have a number of descriptors open, 0 for as many as this one. It runs until the
 // end of the test.
 func startProcess(t *testing.T, descriptors int, program string, args ...string) *process {
+	return startProcessTo(t, t.Output(), descriptors, program, args...)
+}
+
+// startProcessTo is startProcess with another place for the log.
+func startProcessTo(t *testing.T, log io.Writer, descriptors int, program string, args ...string) *process {
 	p := &process{t: t, cmd: exec.Command(program, args...), ended: make(chan struct{})}
 	if descriptors > 0 {
 		p.cmd = exec.Command("sh", append([]string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(descriptors), program}, args...)...)
 	}
-	p.cmd.Stderr = t.Output()
+	p.cmd.Stderr = log
 	require.NoError(t, p.cmd.Start())
 	var group errgroup.Group
 	group.Go(func() error {
--- a/cmd/bronzerill/streamcrowd_test.go
+++ b/cmd/bronzerill/streamcrowd_test.go
@@ -70,13 +70,13 @@
 
 // Guards against streams, many at once, that clients of entries don't read (issue 52).
 func TestAgentEnduresUnreadStreams(t *testing.T) {
-	entry, agent, _ := startFleet(t, streamingEngine())
+	entry, agent, _ := startFleet(t, fleetConfig{backend: streamingEngine(), entryLog: t.Output()})
 	agent.addr = entry.addr
 	agent.requireEndures(crowdDescriptors+100, unreadStream)
 }
 
 // Guards against streams, many at once, that their clients don't read (issue 52).
 func TestEntryEnduresUnreadStreams(t *testing.T) {
-	entry, _, _ := startFleet(t, streamingEngine())
+	entry, _, _ := startFleet(t, fleetConfig{backend: streamingEngine(), entryLog: t.Output()})
 	entry.requireEndures(crowdDescriptors+100, unreadStream)
 }
--- a/internal/agent/entry/server.go
+++ b/internal/agent/entry/server.go
@@ -14,6 +14,7 @@
 
 	"bronzerill"
 	"bronzerill/internal/agent/admission"
+	"bronzerill/internal/operator/journal"
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/wire/control"
@@ -31,6 +32,9 @@
 // openBodyFactor is what an exchange takes, as a multiple of its body: the request and what is decoded of it.
 const openBodyFactor = 2
 
+// maxFailedLines is how many failed requests are logged in a second.
+const maxFailedLines = 200
+
 // maxCacheBytes limits the size of the KV cache of one chat.
 const maxCacheBytes = 64 << 20
 
@@ -98,6 +102,8 @@
 	// group runs the exchanges. They outlive the connections of the entries.
 	group *errgroup.Group
 	ctx   context.Context
+	// failedLog limits the rate of log lines.
+	failedLog *journal.Limiter
 }
 
 // NewServer returns a server. Its exchanges run in the group until ctx ends.
@@ -111,6 +117,8 @@
 		gate:  admission.NewGate(cfg.Pool, cfg.Zone),
 		group: group,
 		ctx:   ctx,
+
+		failedLog: journal.NewLimiter("request failed", maxFailedLines),
 	}
 }
 
@@ -298,7 +306,9 @@
 		}
 		if err != nil {
 			metrics.Failed(bronzerill.KindOf(err))
-			s.cfg.Log.Info("request failed", "request", o.ID.Request, "attempt", o.ID.Attempt, "kind", bronzerill.KindOf(err).String(), "error", err.Error())
+			if s.failedLog.Allow(s.cfg.Clock()) {
+				s.cfg.Log.Info("request failed", "request", o.ID.Request, "attempt", o.ID.Attempt, "kind", bronzerill.KindOf(err).String(), "error", err.Error())
+			}
 		}
 		now := s.cfg.Clock()
 		resp.close(now, err)
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -14,6 +14,7 @@
 
 	"bronzerill"
 	"bronzerill/internal/entry/agent"
+	"bronzerill/internal/operator/journal"
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/exchange"
@@ -28,6 +29,9 @@
 	PathServices = "/v1/services/"
 )
 
+// maxFailedLines is how many lines of refusals and aborted responses are logged in a second.
+const maxFailedLines = 200
+
 // Forwarder runs requests on the servers of their policy's pool.
 type Forwarder interface {
 	Do(ctx context.Context, request agent.Request, out agent.Output) error
@@ -49,6 +53,8 @@
 type Server struct {
 	cfg        ServerConfig
 	hintSigner hintSigner
+	// failedLog limits the rate of log lines.
+	failedLog *journal.Limiter
 }
 
 // NewServer returns a server.
@@ -56,7 +62,7 @@
 	if cfg.Memory == nil {
 		cfg.Memory = memory.NewBudget(defaultMemory)
 	}
-	return &Server{cfg: cfg, hintSigner: hintSigner{secret: []byte(cfg.Secret)}}
+	return &Server{cfg: cfg, hintSigner: hintSigner{secret: []byte(cfg.Secret)}, failedLog: journal.NewLimiter("refused", maxFailedLines)}
 }
 
 // Handler returns the HTTP handler.
@@ -205,14 +211,18 @@
 		return nil
 	}
 	metrics.Failed(bronzerill.KindOf(err))
-	s.cfg.Log.Warn("response aborted", "request", id, "kind", bronzerill.KindOf(err).String(), "error", err.Error())
+	if s.failedLog.Allow(s.cfg.Clock()) {
+		s.cfg.Log.Warn("response aborted", "request", id, "kind", bronzerill.KindOf(err).String(), "error", err.Error())
+	}
 	return err
 }
 
 func (s *Server) refuse(w http.ResponseWriter, id string, err error) {
 	kind := bronzerill.KindOf(err)
 	metrics.Refused(kind)
-	s.cfg.Log.Info("refused", "request", id, "kind", kind.String(), "error", err.Error())
+	if s.failedLog.Allow(s.cfg.Clock()) {
+		s.cfg.Log.Info("refused", "request", id, "kind", kind.String(), "error", err.Error())
+	}
 	writeError(w, id, err)
 }
 
--- a/internal/operator/command/process.go
+++ b/internal/operator/command/process.go
@@ -6,7 +6,6 @@
 	"os"
 	"strings"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
@@ -49,20 +48,11 @@
 			if s.Router != nil {
 				return router.Run(ctx, s, c.String("settings"), platform.Adapter{})
 			}
-			return process.Run(ctx, s, newLog(s))
+			return process.Run(ctx, s, os.Stderr)
 		},
 	}
 }
 
-func newLog(s file.Settings) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
-		Name:       s.Name,
-		Level:      hclog.LevelFromString(s.LogLevel),
-		JSONFormat: true,
-		Output:     os.Stderr,
-	})
-}
-
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "check",
--- a/internal/operator/journal/sink.go
+++ b/internal/operator/journal/sink.go
@@ -6,11 +6,17 @@
 	"context"
 	"expvar"
 	"io"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // maxQueued limits the number of lines that wait for the output.
 const maxQueued = 2048
 
+// flushTimeout limits how long the last lines may take.
+const flushTimeout = time.Second
+
 var droppedLines = expvar.NewInt("log-lines-dropped")
 
 // Sink is a non-blocking writer that drops lines if the output is too slow. It counts
@@ -38,8 +44,26 @@
 }
 
 // Run writes queued lines to the output until ctx ends. It then writes the lines that are
-// still queued and returns nil.
+// still queued, unless the output has stalled, and returns nil.
 func (s *Sink) Run(ctx context.Context) error {
+	finished := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(finished)
+		s.writeLines(ctx)
+		return nil
+	})
+	<-ctx.Done()
+	select {
+	case <-finished:
+	case <-time.After(flushTimeout):
+		// The write goes on until the process ends.
+	}
+	return nil
+}
+
+// writeLines writes queued lines until ctx ends, and then those that are still queued.
+func (s *Sink) writeLines(ctx context.Context) {
 	for {
 		select {
 		case line := <-s.lines:
@@ -48,7 +72,7 @@
 			for len(s.lines) > 0 {
 				s.write(<-s.lines)
 			}
-			return nil
+			return
 		}
 	}
 }
--- a/internal/operator/journal/sink_test.go
+++ b/internal/operator/journal/sink_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 )
 
 func TestWriteNeverBlocks(t *testing.T) {
@@ -32,3 +34,29 @@
 	require.NoError(t, sink.Run(ctx))
 	require.Equal(t, "stopped\n", out.String())
 }
+
+// Guards against a process that doesn't end since nobody reads its log (issue 52).
+func TestRunEndsAlthoughTheOutputHasStalled(t *testing.T) {
+	unread, out := io.Pipe()
+	t.Cleanup(func() { _ = unread.Close() })
+	sink := NewSink(out)
+	_, err := sink.Write([]byte("line\n"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return sink.Run(ctx) })
+	require.Eventually(t, func() bool { return len(sink.lines) == 0 }, time.Second, time.Millisecond)
+	cancel()
+	ended := make(chan error, 1)
+	var waiter errgroup.Group
+	waiter.Go(func() error {
+		ended <- group.Wait()
+		return nil
+	})
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "it still waits")
+	}
+}
--- a/internal/run/process/process.go
+++ b/internal/run/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"bronzerill/internal/operator/journal"
 	"bronzerill/internal/operator/server"
 	"bronzerill/internal/run/agent"
 	"bronzerill/internal/run/control"
@@ -49,8 +51,25 @@
 }
 
 // Run runs the process until ctx ends, SIGTERM or an interrupt arrives, or a role
-// fails. It returns nil after a graceful shutdown, or the error of the role.
-func Run(ctx context.Context, s file.Settings, log hclog.Logger) error {
+// fails. It returns nil after a graceful shutdown, or the error of the role. It never waits for the output of
+// the log.
+func Run(ctx context.Context, s file.Settings, output io.Writer) error {
+	sink := journal.NewSink(output)
+	outputCtx, closeOutput := context.WithCancel(context.Background())
+	var writer errgroup.Group
+	writer.Go(func() error { return sink.Run(outputCtx) })
+	defer func() {
+		closeOutput()
+		_ = writer.Wait() // it never fails
+	}()
+	return run(ctx, s, hclog.New(&hclog.LoggerOptions{
+		Name: s.Name, Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: sink,
+	}))
+}
+
+func run(ctx context.Context, s file.Settings, log hclog.Logger) error {
+	// A log that nobody reads any more doesn't end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	secret, err := file.ReadSecret(s.SecretFile)
 	if err != nil {
 		return err
