Ports: responses aren't cut off as soon as they are being sent

Cause: suspected, not shown, as the soak didn't say whether a server had run the request, nor when the crowd had ended; it does now. Found by reading: at a port where all other requests are being worked on, the connection whose response is being written at that moment was the first to yield, even if its client reads, and what a server had done for it was lost.

Ruled out: spoiled answers (they had ended); the limits of bodies (these end with a refusal).

--- a/cmd/bronzerill-soak/callers.go
+++ b/cmd/bronzerill-soak/callers.go
@@ -149,8 +149,8 @@
 			c.crowdedOut.Add(1)
 		default:
 			c.countClosed(router)
-			c.world.addViolation("router %d closed the connection of %s%s without a response after %s, though it was neither killed nor stopped: %v",
-				router, path, id, took.Round(time.Millisecond), r.err)
+			c.world.addViolation("router %d closed the connection of %s%s without a response after %s, though it was neither killed nor stopped (run %v, begun %s after a crowd): %v",
+				router, path, id, took.Round(time.Millisecond), c.world.hasRun(id), startedAt.Sub(time.Unix(0, c.crowdedUntil.Load())), r.err)
 		}
 		return false
 	}
--- a/internal/wire/httpport/limit.go
+++ b/internal/wire/httpport/limit.go
@@ -16,6 +16,9 @@
 	// unusedGrace is how long a client may take from a new connection to its first request before it yields before
 	// idle ones.
 	unusedGrace = 200 * time.Millisecond
+	// sendingGrace is how long a client may take to read what is being sent before the response can be cut off for a new
+	// connection. What was done for it would be lost.
+	sendingGrace = 250 * time.Millisecond
 	// closingGrace is how long a client that is still sending gets to read the last response.
 	closingGrace = 50 * time.Millisecond
 	// retryInterval is the time between two tries to make room while the port is full.
@@ -100,7 +103,7 @@
 	rankIdle
 	// rankActive is one whose client sends or reads.
 	rankActive
-	// rankWorking is one whose request is being worked on.
+	// rankWorking is one whose request is being worked on, or whose response has just begun to be sent.
 	rankWorking
 )
 
@@ -113,7 +116,7 @@
 	age := now.Sub(since)
 	isLast := phase == memory.PhaseDiscarding || phase == memory.PhaseClosing
 	switch {
-	case phase == memory.PhaseWorking:
+	case phase == memory.PhaseWorking, phase == memory.PhaseSending && age < sendingGrace:
 		return rankWorking, since
 	case isLast && age < closingGrace:
 		return rankLast, since
