--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,10 +62,10 @@
 mutant "broken: lines may end differently" internal/wire/httpresponse/head.go 's/if c\.afterCR != c\.endsWithCR \{/if c.lines < 0 {/' internal/wire/httpresponse TestUnreadableFields
 mutant "broken: a head that follows a skipped answer isn't checked from its start" internal/router/server/limit.go 's/r\.head\.Check\(alreadyRead\)/r.head.Check(nil)/' internal/router/server TestResponseWith
 mutant "broken: an error in a head is forgotten" internal/wire/httpresponse/transport.go 's/if err := c\.headErr\(\); err != nil \{/if err := c.headErr(); err == nil \&\& c == nil {/' internal/wire/httpresponse TestTransportRejects
-mutant "crowds: nobody yields memory" internal/wire/memory/transfer.go 's/if waits \&\& progressedAt\.Before\(before\) \{/if waits \&\& progressedAt.Before(before) \&\& false {/' internal/wire/memory TestClientsWithoutProgress
+mutant "crowds: nobody yields memory" internal/wire/memory/transfer.go 's/if waits \&\& progressedAt\.Before\(before\) /if waits \&\& progressedAt.Before(before) \&\& false /' internal/wire/memory TestClientsWithoutProgress
 mutant "crowds: single bytes are progress" internal/wire/memory/transfer.go 's/t\.partial >= progressBytes/t.partial > 0/' internal/wire/httpport TestBodyThatStalls
 mutant "crowds: bodies may take any time" internal/wire/httpport/body.go 's/progressedAt\.Add\(c\.cfg\.StallTimeout\)/progressedAt.Add(time.Hour + c.cfg.StallTimeout)/' internal/wire/httpport TestBodyThatStalls
-mutant "crowds: the rest of a refused body is awaited" internal/wire/httpport/body.go 's/if !b\.ended \{/if !b.ended \&\& b.conn == nil {/' cmd/bronzerill TestUnfinishedBodyIsAnswered
+mutant "crowds: the rest of a refused body is awaited" internal/wire/httpport/body.go 's/if b\.ended \{$/if b.ended || b.conn != nil {/' cmd/bronzerill TestUnfinishedBodyIsAnswered
 mutant "crowds: nobody yields at a full port" internal/wire/httpport/limit.go 's/c != nil \&\& c\.transfer\.Yield\(\)/c != nil \&\& false/' internal/wire/httpport TestFullPort
 mutant "crowds: requests that are worked on yield" internal/wire/httpport/limit.go 's/return r != rankLast \&\& r != rankWorking/return r != rankLast/' internal/wire/httpport TestStalledClients
 mutant "crowds: idle connections yield before stalled ones" internal/wire/httpport/limit.go 's/age > stallGrace:/age > time.Hour:/' internal/wire/httpport TestStalledClients
@@ -214,6 +214,18 @@
 mutant "late: orders are accepted on any revision" $O/zoneorders.go 's/base != current \{/base != current \&\& false {/' $O 'TestZoneOrders|TestLateOrder'
 mutant "late: accepted orders aren't counted" $O/zoneorders.go 's/^\t\*accepted\+\+$//' $O 'TestZoneOrders|TestLateOrder'
 mutant "late: revisions outlive the leader" $O/zoneorders.go 's/Term: term, Accepted: \*accepted/Term: base.Term, Accepted: *accepted/' $O TestZoneOrders
+mutant "crowds: a claim gives up at a client that doesn't yield" internal/wire/memory/transfer.go 's/c\.declined = append\(c\.declined, oldest\)/return pending > 0/' internal/wire/memory TestClientThatDoesNotYield
+mutant "crowds: claims wait for a client that doesn't yield" internal/wire/memory/transfer.go 's/^\tt\.budget\.notify\(\)$//' internal/wire/memory TestWaitEnds
+mutant "crowds: whole heads yield" internal/wire/httpport/conn.go 's/c\.headEnd\.find\(data\)/c.headEnd.find(nil)/' internal/wire/httpport TestWholeHead
+mutant "crowds: refused requests yield late" internal/wire/httpport/limit.go 's/isLast := phase == memory\.PhaseDiscarding \|\| /isLast := /' internal/wire/httpport TestRefusedRequestsYieldFirst
+mutant "crowds: requests without a handler may take any time" internal/wire/httpport/conn.go 's/if c\.unhandled\.Load\(\) \{/if false {/' internal/wire/httpport TestUnhandledRequestsEnd
+mutant "crowds: the limit of a request without a handler stays" internal/wire/httpport/conn.go 's/^\tc\.unhandled\.Store\(false\)$//' internal/wire/httpport 'TestLimitOfUnhandled|TestSlowBody'
+mutant "crowds: responses are cut off at once" internal/wire/httpport/limit.go 's/phase == memory\.PhaseSending \&\& age < sendingGrace:/phase == memory.PhaseSending \&\& age < 0:/' internal/wire/httpport TestResponsesAreNotCutOff
+mutant "crowds: windows take any memory" internal/agent/entry/response.go 's/capacity > minWindowBytes \&\& !r/capacity < 0 \&\& !r/' internal/agent/entry TestWindowsFit
+mutant "crowds: sockets hold any bytes" internal/wire/tcp/buffer.go 's/receiveBytes = 32 << 10/receiveBytes = 4 << 20/' internal/wire/tcp TestUnreadBytes
+mutant "crowds: segments wait for room in a socket" internal/wire/tcp/buffer.go 's/sendBytes = 64 << 10/sendBytes = 16 << 10/' internal/wire/tcp TestLimitedBuffers
+mutant "crowds: each role takes all connections" internal/run/limits/limits.go 's/return max\(1, ports\)/return max(1, min(1, ports))/' internal/run/limits TestRolesOfOneProcess
+mutant "crowds: a stop waits for the log" internal/operator/journal/sink.go 's/After\(flushTimeout\)/After(time.Hour)/' internal/operator/journal TestRunEndsAlthough
 mutant "late: a proposal is appended in another term" $R/proposal.go 's/if p\.term != 0 \&\& p\.term != n\.core\.Term\(\) \{/if false {/' $R TestCommandIsNotAppendedInLaterTerm
 mutant "late: overtaken tickets are applied" $H/ticketorder.go 's/overtaken != "" \{/false {/' $H TestLateTicket
 mutant "late: tickets don't wait for pending ones" $H/ticketorder.go 's/if s\.tickets\.settledTerm == term \{/if true {/' $H TestLateTicketDoesNotFollow
