--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -30,7 +30,8 @@
 echo "== go test -race"
 red=$(known | awk '{print $1}' | sort -u)
 module=$(go list -m)
-# Tests of crowds run apart from others: they measure the memory and the descriptors of processes.
+# Tests of crowds run apart from others: they measure the memory and the descriptors of processes. Beside load they may
+# take longer than the 10 minutes that go test allows by default.
 crowds=./cmd/bronzerill
 clean=$(go list ./... | sed "s#^$module#.#" | grep -vxF "${red:-none}" | grep -vxF "$crowds")
 go test -race -count=1 $clean
@@ -39,7 +40,7 @@
 done
 
 echo "== go test -race $crowds"
-go test -race -count=1 -skip "$(skipped "$crowds")" "$crowds"
+go test -race -count=1 -timeout 25m -skip "$(skipped "$crowds")" "$crowds"
 
 known | while read -r package test rest; do
 	echo "== known red: $package $test $rest"
