--- a/internal/agent/entry/response.go
+++ b/internal/agent/entry/response.go
@@ -21,7 +21,8 @@
 
 // Sizes that hold for each response.
 const (
-	// minWindowBytes is what a window may take, even if there is no memory for more.
+	// minWindowBytes is what a window may take even if there is no memory for more, and the size of the parts in which a
+	// response is written.
 	minWindowBytes = 16 << 10
 	// frameBytes is the size of the largest frame. A frame is copied before it is sent.
 	frameBytes = 32 << 10
@@ -180,7 +181,7 @@
 	r.notifyReaders()
 }
 
-// closedChannel is a channel on which nobody waits.
+// closedChannel is returned in place of the next change if more frames are ready.
 var closedChannel = func() <-chan struct{} {
 	c := make(chan struct{})
 	close(c)
--- a/internal/run/limits/limits.go
+++ b/internal/run/limits/limits.go
@@ -34,8 +34,8 @@
 
 // Limits of the number of connections.
 const (
-	// One in callerDivisor descriptors may be a connection of a caller or an entry. The requests on these take up to twice as many for calls
-	// to servers. What is left is for other ports, peers and files.
+	// One in callerDivisor descriptors may be a connection of a caller or an entry. The requests on these take up to twice as
+	// many for calls to servers. What is left is for other ports, peers and files.
 	callerDivisor = 5
 	// One in otherDivisor descriptors may be a connection of each other port, and minOther at least.
 	otherDivisor = 64
--- a/internal/wire/httpport/limit.go
+++ b/internal/wire/httpport/limit.go
@@ -19,7 +19,8 @@
 	// sendingGrace is how long a client may take to read what is being sent before the response can be cut off for a new
 	// connection. What was done for it would be lost.
 	sendingGrace = 50 * time.Millisecond
-	// closingGrace is how long a client that is still sending gets to read the last response.
+	// closingGrace is how long a client that is still sending gets to finish a body that nobody reads, and then to read the
+	// last response.
 	closingGrace = 50 * time.Millisecond
 	// retryInterval is the time between two tries to make room while the port is full.
 	retryInterval = 50 * time.Millisecond
