--- a/review/lab2/fleet.go
+++ b/review/lab2/fleet.go
@@ -135,7 +135,7 @@
 		"{{listen.front}}", f.addr(r, portCallers), "{{listen.readiness_addr}}", f.addr(r, portReadiness), "{{listen.control}}", f.addr(r, portOperators),
 		"{{internal_port_range.0}}", strconv.Itoa(f.basePort+portInternal), "{{internal_port_range.1}}", strconv.Itoa(f.basePort+portMetrics),
 		"{{seeds|json}}", string(list), "{{bootstrap}}", strconv.FormatBool(first), "{{data_dir}}", r.folder, "{{cloud.address}}", f.list,
-		"{{fault_tolerance.machines}}", "1", "{{limits.memory_mb}}", strconv.Itoa(memoryMB), "{{bounds.grace_s}}", strconv.Itoa(graceSeconds),
+		"{{fault_tolerance.machines}}", "1", "{{limits.memory_mb}}", strconv.Itoa(memoryMB), "{{limits.max_fds}}", "4100", "{{bounds.grace_s}}", strconv.Itoa(graceSeconds),
 		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_slack}}", "62", "{{bounds.cap_factor}}", "2",
 	).Replace(string(template))
 	path := filepath.Join(f.folder, r.name+".toml")
