Log: routers say that they lack a newer state, replicas who votes while there is no majority

A refusal now names the revision that it was made by, a router that has known for over a second that a peer has a newer state says so (and events declared-state-behind counts it), a fetch that failed says how long it took, and a replica that campaigns names the voters that answered and those that it needs.

No decision has changed.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 func (c *Core) resetElectionTimer(now time.Time) {
 	jitter := time.Duration(c.random.Int64N(int64(ElectionTimeout)))
@@ -84,6 +88,21 @@
 	return true
 }
 
+// votesSeen returns the answers to the present campaign, and whether there is one.
+func (c *Core) votesSeen() (granted, rejected []string, campaigns bool) {
+	if c.role != preCandidate && c.role != candidate {
+		return nil, nil, false
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.votes)) {
+		if c.votes[name] {
+			granted = append(granted, name)
+		} else {
+			rejected = append(rejected, name)
+		}
+	}
+	return granted, rejected, true
+}
+
 func (c *Core) becomeFollower(now time.Time, term uint64, leaderName string) {
 	if term > c.hard.Term {
 		c.hard = HardState{Term: term, Commit: c.hard.Commit}
--- a/internal/control/replica/node.go
+++ b/internal/control/replica/node.go
@@ -366,7 +366,11 @@
 // logProgress logs how far members of the leader's group are behind. Without it, a replica that gets nothing looks like
 // one that is down.
 func (n *Node) logProgress(now time.Time) {
-	if !n.core.IsLeader() || now.Sub(n.progressLoggedAt) < progressLogInterval {
+	if now.Sub(n.progressLoggedAt) < progressLogInterval {
+		return
+	}
+	if !n.core.IsLeader() {
+		n.logElection(now)
 		return
 	}
 	n.progressLoggedAt = now
@@ -380,6 +384,18 @@
 	}
 }
 
+// logElection logs which voters this replica has heard from while it campaigns.
+func (n *Node) logElection(now time.Time) {
+	granted, rejected, campaigns := n.core.votesSeen()
+	if !campaigns {
+		return
+	}
+	n.progressLoggedAt = now
+	members := n.core.Members()
+	n.cfg.Log.Info("campaigns without a majority", "term", n.core.Term(), "granted", granted, "rejected", rejected,
+		"voters", members.names(true), "needed", members.Quorum(), "log", n.core.log.last(), "commit", n.core.hard.Commit)
+}
+
 func (n *Node) publishStatus() {
 	if index := n.core.membersIndex; index != n.loggedMembers {
 		n.loggedMembers = index
--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -73,6 +73,7 @@
 	EventHeadTooLarge     Event = "head-without-memory"
 	EventBodyStalled      Event = "body-stalled"
 	EventResponseStalled  Event = "answer-stalled"
+	EventStateBehind      Event = "declared-state-behind"
 )
 
 // Count increments the counter of an event.
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -374,7 +374,7 @@
 		"ms", now.Sub(e.start).Milliseconds(), "status", status,
 	}
 	if e.table != nil {
-		fields = append(fields, "state", e.table.Number)
+		fields = append(fields, "state", e.table.Number, "revision", e.table.Revision)
 	}
 	if e.route != nil {
 		fields = append(fields, "route", e.route.Name, "kind", e.route.Kind.String(), "service", e.service.Name)
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -98,7 +98,7 @@
 		Services:  []declared.Service{{Name: "desk"}, {Name: "engine", Engine: &declared.Engine{Slots: 6}}},
 		Customers: []declared.Customer{{Name: "agency", Keys: []string{"key"}}},
 	}
-	router.state.Store(declared.NewTable(router.document, nil))
+	router.state.Store(declared.NewTable(router.document, 1, nil))
 	router.handler = NewHandler(Config{
 		Dialect: testDialect{}, Servers: router.table, Client: server.NewClient(server.Config{Clock: time.Now}),
 		Streams: router.streams, Routes: router.state.Load, Clock: time.Now,
@@ -116,7 +116,7 @@
 	for i := range router.document.Routes {
 		router.document.Routes[i].Timeout = timeout
 	}
-	router.state.Store(declared.NewTable(router.document, nil))
+	router.state.Store(declared.NewTable(router.document, 1, nil))
 }
 
 func (router *testRouter) request(ctx context.Context, path string) *http.Request {
--- a/internal/router/caller/standby_test.go
+++ b/internal/router/caller/standby_test.go
@@ -18,7 +18,7 @@
 	for i := range router.document.Routes {
 		router.document.Routes[i].MaxAttempts = attempts
 	}
-	router.state.Store(declared.NewTable(router.document, nil))
+	router.state.Store(declared.NewTable(router.document, 1, nil))
 }
 
 // Guards against giving up the only server that works on a stream, since its first event comes late.
--- a/internal/router/caller/zoneout_test.go
+++ b/internal/router/caller/zoneout_test.go
@@ -25,7 +25,7 @@
 
 // takeOut declares that a zone is out.
 func (router *testRouter) takeOut(zone string) {
-	router.state.Store(declared.NewTable(router.document, []string{zone}))
+	router.state.Store(declared.NewTable(router.document, 1, []string{zone}))
 }
 
 // sendFirstEvent sends one event of a stream, on other routes nothing.
--- a/internal/router/declared/table.go
+++ b/internal/router/declared/table.go
@@ -21,6 +21,8 @@
 type Table struct {
 	// Number is the number of the document.
 	Number uint64
+	// Revision is that of the declared state.
+	Revision uint64
 	// RequiresKey is set if requests on non-public routes need a key.
 	RequiresKey bool
 	hosts       map[string][]*Route
@@ -29,10 +31,11 @@
 	zonesOut    map[string]bool
 }
 
-// NewTable builds a table from a document and the zones that are out.
-func NewTable(d Document, zonesOut []string) *Table {
+// NewTable builds a table from a document and the zones that are out. The revision is that of the declared state.
+func NewTable(d Document, revision uint64, zonesOut []string) *Table {
 	t := &Table{
 		Number:      d.Number,
+		Revision:    revision,
 		RequiresKey: d.RequiresKey,
 		hosts:       make(map[string][]*Route),
 		services:    make(map[string]Service, len(d.Services)),
--- a/internal/run/router/holder.go
+++ b/internal/run/router/holder.go
@@ -25,6 +25,7 @@
 	// state is the newest state, and source is where it came from.
 	state  declared.State
 	source string
+	behind behindState
 	// table is compiled from the state asynchronously.
 	table atomic.Pointer[declared.Table]
 	// compileSignal holds a token while the newest state is not compiled.
@@ -66,6 +67,7 @@
 	newer := next.Revision > h.state.Revision
 	if newer {
 		h.state, h.source = next, source
+		h.behind = h.behind.withRevision(next.Revision)
 	}
 	h.mu.Unlock()
 	if !newer {
@@ -116,7 +118,7 @@
 		}
 	}
 	if next.Number > 0 {
-		h.table.Store(declared.NewTable(h.document, next.ZonesOut))
+		h.table.Store(declared.NewTable(h.document, next.Revision, next.ZonesOut))
 	}
 	h.log.Info("declared state taken", "revision", next.Revision, "number", next.Number,
 		"before", before.Number, "passed-over", next.Revision-before.Revision-1, "zones-out", next.ZonesOut, "from", source)
@@ -147,8 +149,9 @@
 	ctx, cancel := context.WithTimeout(ctx, peer.CallTimeout)
 	defer cancel()
 	var reply peer.StateReply
-	if err := r.clients.Call(ctx, addr, "State", &peer.StateRequest{Above: h.Revision()}, &reply); err != nil {
-		h.log.Warn("declared state not fetched", "from", addr, "error", err.Error())
+	startedAt, revision := time.Now(), h.Revision()
+	if err := r.clients.Call(ctx, addr, "State", &peer.StateRequest{Above: revision}, &reply); err != nil {
+		h.log.Warn("declared state not fetched", "from", addr, "above", revision, "ms", time.Since(startedAt).Milliseconds(), "error", err.Error())
 		return
 	}
 	r.versions.setFetched(reply.Versions)
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -217,6 +217,7 @@
 	r.updateRouters(now)
 	r.client.Sweep(now)
 	r.logLeaderChange(now)
+	r.holder.logBehind(now)
 }
 
 // updateRouters passes the known routers to the table of servers, which computes this
@@ -268,6 +269,7 @@
 		r.servers.SetPeerMixedServices(now, d.Extension.MixedServices)
 	}
 	if d.Revision > r.holder.Revision() {
+		r.holder.noteHeard(now, d.Revision, d.From.Addr)
 		r.holder.requestFetch(d.From.Addr)
 	}
 }
