--- a/cmd/bronzerill-soak/operator.go
+++ b/cmd/bronzerill-soak/operator.go
@@ -26,6 +26,7 @@
 	ackCount            atomic.Int64
 	// heldCount is the number of orders for zones that were held up.
 	heldCount int
+	acks      acks
 }
 
 // routeTimeouts are the timeouts of routes in turn.
@@ -50,7 +51,7 @@
 			MaxAttempts: attempts, Resumable: resumable, Targets: []declared.Target{{Service: service}},
 		}
 	}
-	return standin.Document(declared.Document{
+	return standin.Document(withKept(declared.Document{
 		Number: uint64(o.number),
 		Routes: []declared.Route{
 			route("once", "desk", declared.Once, 1, false), route("repeatable", "desk", declared.Repeatable, 2, false),
@@ -58,17 +59,19 @@
 			route("moved", movedTo, declared.Stream, 2, true), route(fmt.Sprintf("added-%d", o.number%addedRoutes), "desk", declared.Repeatable, 2, false),
 		},
 		Services: []declared.Service{{Name: "guides", ColdStart: coldStart, ColdPerSecond: coldPerSecond, Engine: &declared.Engine{Slots: 48, CacheTokens: 1000}}, {Name: "desk"}},
-	})
+	}, func(name string) declared.Route { return route(name, "desk", declared.Repeatable, 2, false) }))
 }
 
 // declare sends the next declared state until a router acknowledges it or the timeout
 // ends. It reports whether one did.
 func (o *operator) declare(timeout time.Duration) bool {
 	o.number++
+	o.acks.setSent(o.number)
 	for end := time.Now().Add(timeout); time.Now().Before(end); {
 		for i := range o.fleet.nodes {
 			if status, _, err := o.send(i, http.MethodPut, standin.ConfigPath, o.document()); err == nil && status == http.StatusOK {
 				o.ackedNumber = o.number
+				o.acks.add(o.number, i, time.Now())
 				o.ackCount.Add(1)
 				return true
 			}
--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -66,6 +66,10 @@
 			random := rand.New(rand.NewPCG(cfg.seed, uint64(100+i)))
 			workers.Go(func() error { c.run(callersCtx, random); return nil })
 		}
+		for i := range f.nodes {
+			random := rand.New(rand.NewPCG(cfg.seed, uint64(400+i)))
+			workers.Go(func() error { c.probeStates(callersCtx, o, i, random); return nil })
+		}
 		workers.Go(func() error { o.run(callersCtx, rand.New(rand.NewPCG(cfg.seed, 50))); return nil })
 		w.hasStrays.Store(true)
 		injectFaults(ctx, cfg, f, w)
@@ -124,7 +128,7 @@
 	if err := cfg.tasks.Wait(); err != nil {
 		return nil, "", err
 	}
-	return w.allViolations(), fmt.Sprintf("%s, %d changes, %d orders held up", c, o.ackCount.Load(), o.heldCount), nil
+	return w.allViolations(), fmt.Sprintf("%s, %d changes, %d orders held up%s", c, o.ackCount.Load(), o.heldCount, &w.probes), nil
 }
 
 // injectFaults injects the seed's faults, some of them at the same time. The kinds 0 to
--- a/cmd/bronzerill-soak/world.go
+++ b/cmd/bronzerill-soak/world.go
@@ -71,6 +71,7 @@
 	// oddEntry is an entry of another writer in the list, nil if there is none.
 	oddEntry atomic.Pointer[string]
 	loads    engineLoads
+	probes   probeCounts
 	// spoils is set while servers spoil some of their answers.
 	spoils atomic.Bool
 	// hasStrays is set while servers write refusals of other requests before responses.
