--- a/internal/run/router/holder.go
+++ b/internal/run/router/holder.go
@@ -9,8 +9,8 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bronzerill/internal/control/state"
 	"bronzerill/internal/router/declared"
-	"bronzerill/internal/router/peer"
 	"bronzerill/internal/router/placement"
 	"bronzerill/platform"
 )
@@ -33,16 +33,16 @@
 	// document and compiled are used only by the compiling goroutine.
 	document declared.Document
 	compiled declared.State
-	// fetchAddr holds the address of a peer to fetch a newer state from.
-	fetchAddr chan string
-	// onChange is called for each newer state.
-	onChange func()
+	fetches  fetches
+	// onChange is called for each newer state, and onFetched with the noted versions that a peer knows.
+	onChange  func()
+	onFetched func([]state.ServiceVersion)
 }
 
 func newHolder(adapter platform.Adapter, servers *placement.Table, log hclog.Logger) *stateHolder {
 	return &stateHolder{
 		adapter: adapter, servers: servers, log: log,
-		compileSignal: make(chan struct{}, 1), fetchAddr: make(chan string, 1), onChange: func() {},
+		compileSignal: make(chan struct{}, 1), fetches: newFetches(), onChange: func() {}, onFetched: func([]state.ServiceVersion) {},
 	}
 }
 
@@ -123,45 +123,3 @@
 	h.log.Info("declared state taken", "revision", next.Revision, "number", next.Number,
 		"before", before.Number, "passed-over", next.Revision-before.Revision-1, "zones-out", next.ZonesOut, "from", source)
 }
-
-// requestFetch requests a fetch from a peer that has a newer state. It does not block.
-func (h *stateHolder) requestFetch(addr string) {
-	select {
-	case h.fetchAddr <- addr:
-	default:
-		// Another fetch is pending. The peer's next digest causes a new request.
-	}
-}
-
-// runFetch fetches states from peers as requested, until ctx is done.
-func (h *stateHolder) runFetch(ctx context.Context, r *Router) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case addr := <-h.fetchAddr:
-			h.fetch(ctx, r, addr)
-		}
-	}
-}
-
-func (h *stateHolder) fetch(ctx context.Context, r *Router, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, peer.CallTimeout)
-	defer cancel()
-	var reply peer.StateReply
-	startedAt, revision := time.Now(), h.Revision()
-	if err := r.clients.Call(ctx, addr, "State", &peer.StateRequest{Above: revision}, &reply); err != nil {
-		h.log.Warn("declared state not fetched", "from", addr, "above", revision, "ms", time.Since(startedAt).Milliseconds(), "error", err.Error())
-		return
-	}
-	r.versions.setFetched(reply.Versions)
-	if !reply.Newer {
-		return
-	}
-	state, err := reply.State.Unpack()
-	if err != nil {
-		h.log.Error("declared state not fetched", "from", addr, "error", err.Error())
-		return
-	}
-	h.update(state, addr)
-}
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -47,6 +47,8 @@
 	log          hclog.Logger
 	peers        *peer.Table
 	clients      *peer.Clients
+	// fetchClients are for declared states, which may be large: other calls must not wait behind one.
+	fetchClients *peer.Clients
 	gossip       *peer.Gossip
 	servers      *placement.Table
 	client       *server.Client
@@ -124,7 +126,7 @@
 		settings: s, settingsPath: settingsPath, adapter: adapter, log: log,
 		ports:   make(map[string]*httpport.Port),
 		peers:   peer.NewTable(self, seeds, seed),
-		clients: peer.NewClients(secret),
+		clients: peer.NewClients(secret), fetchClients: peer.NewClients(secret),
 		servers: placement.NewTable(placement.Config{Name: s.Name, Zone: s.Zone, Seed: seed}),
 		limits:  processLimits,
 	}
@@ -148,6 +150,7 @@
 	}
 	r.holder.onChange = r.gossip.Trigger
 	r.versions = newVersionHistory(now, r)
+	r.holder.onFetched = r.versions.setFetched
 	r.list = newListPoller(r)
 	r.directory = newDirectoryClient(now, r)
 	r.group = newGroup(r, secret)
@@ -201,7 +204,7 @@
 	}
 	tasks.Go(func() error { return r.gossip.Run(ctx) })
 	tasks.Go(func() error { return r.holder.runCompile(ctx) })
-	tasks.Go(func() error { return r.holder.runFetch(ctx, r) })
+	tasks.Go(func() error { return r.holder.runFetch(ctx, r.fetchClients) })
 	tasks.Go(func() error { return r.list.run(ctx) })
 	tasks.Go(func() error { return ticker.Every(ctx, noteInterval, r.versions.maintain) })
 	tasks.Go(func() error { return r.directory.run(ctx) })
