--- a/internal/operator/metrics/metrics.go
+++ b/internal/operator/metrics/metrics.go
@@ -74,6 +74,7 @@
 	EventBodyStalled      Event = "body-stalled"
 	EventResponseStalled  Event = "answer-stalled"
 	EventStateBehind      Event = "declared-state-behind"
+	EventStateUnconfirmed Event = "declared-state-unconfirmed"
 )
 
 // Count increments the counter of an event.
--- a/internal/router/caller/cuthead_test.go
+++ b/internal/router/caller/cuthead_test.go
@@ -210,7 +210,7 @@
 	now := time.Now()
 	table.SetList(now, now, append([]placement.Server{first}, r.servers...))
 	r.current.Store(NewHandler(Config{
-		Dialect: testDialect{}, Servers: table, Client: r.client, Streams: r.streams, Routes: r.state.Load, Clock: time.Now, Log: hclog.NewNullLogger(),
+		Dialect: testDialect{}, Servers: table, Client: r.client, Streams: r.streams, States: loadedStates(r.state.Load), Clock: time.Now, Log: hclog.NewNullLogger(),
 	}))
 	return r.receive(path, version)
 }
--- a/internal/router/caller/exchange.go
+++ b/internal/router/caller/exchange.go
@@ -247,13 +247,13 @@
 
 // updateService takes over what is declared of the service now. A request may last long.
 func (e *exchange) updateService() {
-	if service, declared := e.cfg.Routes().Service(e.service.Name); declared {
+	if service, declared := e.cfg.States.Table().Service(e.service.Name); declared {
 		e.service = service
 	}
 }
 
 // isZoneOut reports whether a zone is out now, not when the request arrived.
-func (e *exchange) isZoneOut(zone string) bool { return e.cfg.Routes().IsZoneOut(zone) }
+func (e *exchange) isZoneOut(zone string) bool { return e.cfg.States.Table().IsZoneOut(zone) }
 
 // query describes the request for the choice of a server.
 func (e *exchange) query(now time.Time) placement.Query {
--- a/internal/router/caller/handler.go
+++ b/internal/router/caller/handler.go
@@ -37,13 +37,24 @@
 	Streams Streams
 	// Memory is what the bodies of all requests and responses may take.
 	Memory *memory.Budget
-	// Routes returns the current declared state, or nil before it is known.
-	Routes func() *declared.Table
+	States States
 	// Clock returns the current time.
 	Clock func() time.Time
 	Log   hclog.Logger
 }
 
+// States knows the declared state. All methods return nil before there is one.
+type States interface {
+	// Table returns the state in force.
+	Table() *declared.Table
+	// Current returns the state in force for a new request. If the process has just gone on after a pause, it waits for a
+	// short time for what has changed meanwhile.
+	Current(ctx context.Context) *declared.Table
+	// Newest returns the state in force once it is certain that no newer one has been in force for long. It returns false
+	// if that can't be told.
+	Newest(ctx context.Context) (*declared.Table, bool)
+}
+
 // Streams knows at which version of a service's servers streams began.
 type Streams interface {
 	// Began records the version at which a stream began. The request is the caller's
@@ -187,18 +198,12 @@
 
 // admit finds the route, customer and service, and reads the body.
 func (e *exchange) admit() bronzerill.Kind {
-	e.table = e.cfg.Routes()
+	e.table = e.cfg.States.Current(e.r.Context())
 	if e.table == nil {
 		return bronzerill.KindNoState
 	}
-	var found bool
-	if e.route, found = e.table.Route(e.r.Host, e.r.URL.Path); !found {
-		return bronzerill.KindUnknownRoute
-	}
-	if e.table.RequiresKey && !e.route.Public {
-		if e.customer, found = e.table.Customer(e.request.Key); !found {
-			return bronzerill.KindUnauthorized
-		}
+	if kind := e.identify(); kind != bronzerill.KindNone {
+		return kind
 	}
 	e.deadline = e.start.Add(e.route.Timeout)
 	if e.request.Timeout > 0 {
@@ -215,6 +220,7 @@
 	if e.isQuarantined(e.start) {
 		return bronzerill.KindSuspect
 	}
+	var found bool
 	e.service, found = e.table.Service(e.route.PickService(xxhash.Sum64String(e.firstAttempt())))
 	if !found {
 		return bronzerill.KindUnknownRoute
@@ -230,6 +236,36 @@
 	return bronzerill.KindNone
 }
 
+// identify finds the route and the customer. It refuses for good only what the newest state doesn't allow.
+func (e *exchange) identify() bronzerill.Kind {
+	if kind := e.lookUp(); kind == bronzerill.KindNone {
+		return kind
+	}
+	newest, confirmed := e.cfg.States.Newest(e.r.Context())
+	if !confirmed {
+		return bronzerill.KindUnconfirmed
+	}
+	if newest == nil {
+		return bronzerill.KindNoState
+	}
+	e.table = newest
+	return e.lookUp()
+}
+
+// lookUp finds the route and the customer in the table.
+func (e *exchange) lookUp() bronzerill.Kind {
+	var found bool
+	if e.route, found = e.table.Route(e.r.Host, e.r.URL.Path); !found {
+		return bronzerill.KindUnknownRoute
+	}
+	if e.table.RequiresKey && !e.route.Public {
+		if e.customer, found = e.table.Customer(e.request.Key); !found {
+			return bronzerill.KindUnauthorized
+		}
+	}
+	return bronzerill.KindNone
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/router/caller/handler_test.go
+++ b/internal/router/caller/handler_test.go
@@ -101,7 +101,7 @@
 	router.state.Store(declared.NewTable(router.document, 1, nil))
 	router.handler = NewHandler(Config{
 		Dialect: testDialect{}, Servers: router.table, Client: server.NewClient(server.Config{Clock: time.Now}),
-		Streams: router.streams, Routes: router.state.Load, Clock: time.Now,
+		Streams: router.streams, States: loadedStates(router.state.Load), Clock: time.Now,
 		Log: hclog.New(&hclog.LoggerOptions{Name: "a", JSONFormat: true, Output: router.logged}),
 	})
 	router.frontend = httptest.NewUnstartedServer(router.handler)
@@ -334,7 +334,7 @@
 
 func TestRequestWithoutDeclaredStateIsRefused(t *testing.T) {
 	handler := NewHandler(Config{
-		Dialect: testDialect{}, Routes: func() *declared.Table { return nil }, Clock: time.Now, Log: hclog.NewNullLogger(),
+		Dialect: testDialect{}, States: loadedStates(func() *declared.Table { return nil }), Clock: time.Now, Log: hclog.NewNullLogger(),
 	})
 	w := httptest.NewRecorder()
 	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://h/once/x", nil))
--- a/internal/run/agent/role.go
+++ b/internal/run/agent/role.go
@@ -19,6 +19,7 @@
 	"bronzerill/internal/agent/entry"
 	"bronzerill/internal/agent/service"
 	"bronzerill/internal/control/state"
+	"bronzerill/internal/run/boot"
 	"bronzerill/internal/run/limits"
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
@@ -79,12 +80,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "agent.listen")
 	}
-	clock, err := systemClock(time.Now())
+	clock, err := boot.SystemClock(time.Now())
 	if err != nil {
 		_ = port.Close()
 		return nil, err
 	}
-	r := &Role{cfg: cfg, settings: settings, port: port, group: group, clock: clock.now, process: uuid.NewString()}
+	r := &Role{cfg: cfg, settings: settings, port: port, group: group, clock: clock.Now, process: uuid.NewString()}
 	r.renewer = wire.NewLeaseRenewer(wire.LeaseRenewerConfig{
 		Client:          cfg.Client,
 		Holder:          "agent/" + settings.Server,
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -59,7 +59,10 @@
 	return &group{router: r, secret: secret, founding: newFounding(time.Now(), r.settings.Router.DataFolder != "", r.settings.Router.Bootstrap)}
 }
 
-var _ peer.Handler = (*group)(nil)
+var (
+	_ peer.Handler = (*group)(nil)
+	_ newestReader = (*group)(nil)
+)
 
 func (g *group) start(ctx context.Context, tasks *errgroup.Group, listener net.Listener) error {
 	rpc := netrpc.NewServer(g.secret, g.router.log)
@@ -259,6 +262,12 @@
 	return addr, term
 }
 
+// hasLeader reports whether a leader is known, here or elsewhere.
+func (g *group) hasLeader(now time.Time) bool {
+	addr, _ := g.leader(now)
+	return addr != ""
+}
+
 // localLeader returns this router's replica and whether it is the leader.
 func (g *group) localLeader(now time.Time) (*replica.Node, bool) {
 	node := g.replica()
@@ -435,7 +444,7 @@
 // Apply applies one command.
 func (m *notifyingMachine) Apply(index uint64, command []byte) any {
 	result := m.Machine.Apply(index, command)
-	m.router.holder.update(m.Declared(), "log")
+	m.router.holder.updateFromLog(m.Declared(), "log")
 	return result
 }
 
@@ -443,7 +452,7 @@
 func (m *notifyingMachine) Restore(data []byte) error {
 	err := m.Machine.Restore(data)
 	if err == nil {
-		m.router.holder.update(m.Declared(), "snapshot")
+		m.router.holder.updateFromLog(m.Declared(), "snapshot")
 	}
 	return err
 }
--- a/internal/run/router/holder_test.go
+++ b/internal/run/router/holder_test.go
@@ -16,7 +16,7 @@
 
 func newTestHolder(log hclog.Logger) *stateHolder {
 	servers := placement.NewTable(placement.Config{Name: "a", Zone: "zone-a", Seed: 1})
-	return newHolder(platform.Adapter{}, servers, log)
+	return newHolder(platform.Adapter{}, servers, time.Now, log)
 }
 
 func newState(revision uint64, number int, prefix string) declared.State {
--- a/internal/run/router/router.go
+++ b/internal/run/router/router.go
@@ -22,6 +22,7 @@
 	"bronzerill/internal/router/peer"
 	"bronzerill/internal/router/placement"
 	"bronzerill/internal/router/server"
+	"bronzerill/internal/run/boot"
 	"bronzerill/internal/run/limits"
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
@@ -120,6 +121,10 @@
 	if err != nil {
 		return nil, err
 	}
+	clock, err := boot.SystemClock(now)
+	if err != nil {
+		return nil, err
+	}
 	seed := xxhash.Sum64String(s.Name) ^ uint64(now.UnixNano())
 	self := peer.Peer{Name: s.Name, Addr: s.Router.AdvertisedAddr(), Zone: s.Zone, Started: now.UnixNano()}
 	r := &Router{
@@ -139,7 +144,7 @@
 	r.peers.SetSavedPeers(savedPeers, now.Add(savedPeersFor))
 	r.updateRouters(now)
 	r.servers.SetLimits(placementLimits(*s.Router))
-	r.holder = newHolder(adapter, r.servers, log)
+	r.holder = newHolder(adapter, r.servers, clock.Now, log)
 	r.streams = newStreamRegistry(r, peer.NewClients(secret))
 	r.gossip, err = peer.NewGossip(peer.GossipConfig{
 		Self: self, Listen: s.Router.Internal, Table: r.peers, Fill: r.fillDigest, Received: r.applyDigest,
@@ -154,8 +159,9 @@
 	r.list = newListPoller(r)
 	r.directory = newDirectoryClient(now, r)
 	r.group = newGroup(r, secret)
+	r.holder.newest = r.group
 	r.handler = caller.NewHandler(caller.Config{
-		Dialect: adapter, Servers: r.servers, Client: r.client, Streams: r.streams, Routes: r.holder.Table, Clock: time.Now, Log: log, Memory: r.limits.Memory,
+		Dialect: adapter, Servers: r.servers, Client: r.client, Streams: r.streams, States: r.holder, Clock: time.Now, Log: log, Memory: r.limits.Memory,
 	})
 	return r, nil
 }
@@ -205,6 +211,7 @@
 	tasks.Go(func() error { return r.gossip.Run(ctx) })
 	tasks.Go(func() error { return r.holder.runCompile(ctx) })
 	tasks.Go(func() error { return r.holder.runFetch(ctx, r.fetchClients) })
+	tasks.Go(func() error { return r.holder.runConfirm(ctx) })
 	tasks.Go(func() error { return r.list.run(ctx) })
 	tasks.Go(func() error { return ticker.Every(ctx, noteInterval, r.versions.maintain) })
 	tasks.Go(func() error { return r.directory.run(ctx) })
@@ -221,6 +228,7 @@
 	r.client.Sweep(now)
 	r.logLeaderChange(now)
 	r.holder.logBehind(now)
+	r.holder.beat(r.holder.clock())
 }
 
 // updateRouters passes the known routers to the table of servers, which computes this
--- a/internal/run/router/unconfirmed_test.go
+++ b/internal/run/router/unconfirmed_test.go
@@ -10,6 +10,9 @@
 	"bronzerill/internal/router/peer"
 )
 
+// applyTime is the time after an acknowledgement from which a state must be in force everywhere.
+const applyTime = 2 * time.Second
+
 // Guards against a router that refuses what a newer state allows, which it couldn't learn of (issue 55).
 func TestRouterWithAnOldStateRefusesNothingForGood(t *testing.T) {
 	c := newClusterWithLinks(t, 4, 3, true)
@@ -22,17 +25,21 @@
 		c.stop[i]()
 		c.stop[i] = func() {}
 	}
+	time.Sleep(applyTime)
 	require.Equal(t, 503, c.getStatus(3, "/b/x"), "no quorum can say whether there is such a route")
 	require.Equal(t, 200, c.getStatus(3, "/a/x"), "the last known state serves callers")
 }
 
-// Guards against a digest that doesn't arrive: a router asks before it refuses (issue 55).
-func TestRouterThatHearsNoDigestsAsksBeforeItRefuses(t *testing.T) {
+// Guards against a router that refuses although the leader would give it the newer state (issue 55).
+func TestRouterThatCannotFetchAsksBeforeItRefuses(t *testing.T) {
 	c := newClusterWithLinks(t, 4, 3, true)
 	c.awaitOperatorCall(0, "PUT", "/v1/config", document(5, "/a/"), 200)
 	c.awaitStatus(3, "/a/x", 200)
-	c.links[3].setCut(true)
+	for i := range 3 {
+		c.links[i].hold(fetchesState)
+	}
 	c.awaitOperatorCall(0, "PUT", "/v1/config", document(6, "/b/"), 200)
+	time.Sleep(applyTime)
 	require.Equal(t, 200, c.getStatus(3, "/b/x"))
 	require.Equal(t, 404, c.getStatus(3, "/a/x"))
 }
@@ -69,19 +76,22 @@
 	}
 }
 
+// fetchesState reports whether bytes contain a call for the declared state.
+func fetchesState(data []byte) bool { return bytes.Contains(data, []byte(peer.ServiceName+".State")) }
+
 // Guards against a router that waits for one peer while others would give it the newer state (issue 55).
 func TestSilentPeersDoNotKeepARouterFromANewerState(t *testing.T) {
 	c := newClusterWithLinks(t, 6, 3, true)
 	c.awaitOperatorCall(0, "PUT", "/v1/config", document(5, "/a/"), 200)
 	c.awaitStatus(5, "/a/x", 200)
 	for _, silent := range []int{0, 1, 3, 4} {
-		c.links[silent].hold(func(data []byte) bool { return bytes.Contains(data, []byte(peer.ServiceName+".State")) })
+		c.links[silent].hold(fetchesState)
 	}
 	for number := 6; number < 18; number++ {
 		c.awaitOperatorCall(2, "PUT", "/v1/config", document(number, "/a/"), 200)
 		require.Eventually(t, func() bool {
 			table := c.routers[5].holder.Table()
 			return table != nil && table.Number == uint64(number)
-		}, 2*time.Second, 10*time.Millisecond, "state %d", number)
+		}, applyTime, 10*time.Millisecond, "state %d", number)
 	}
 }
--- a/kind.go
+++ b/kind.go
@@ -58,6 +58,8 @@
 	KindUnknownStream
 	KindServerBackoff
 	KindStopped
+	// KindUnconfirmed means that a router can't tell whether a newer declared state allows the request.
+	KindUnconfirmed
 	kindCount
 )
 
@@ -157,6 +159,7 @@
 	KindUnknownStream:  {"unknown-stream", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
 	KindServerBackoff:  {"server-backoff", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
 	KindStopped:        {"stopped", http.StatusBadGateway, RunUnknown, RetryLater},
+	KindUnconfirmed:    {"unconfirmed", http.StatusServiceUnavailable, RunNot, RetryElsewhere},
 }
 
 // String returns the kebab-case name of the kind.
