--- a/internal/control/replica/core.go
+++ b/internal/control/replica/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"bronzerill"
@@ -110,8 +109,12 @@
 	// membersIndex is the index of that list. The list can't change again until
 	// this index is committed.
 	membersIndex uint64
+	// before is the member list before members.
+	before Members
 	// baseMembers is the member list at the base of the log.
 	baseMembers Members
+	// lostFolders are the data folders that are known to be lost.
+	lostFolders map[string]bool
 	role        role
 	leader      string
 	lastContact time.Time
@@ -154,6 +157,8 @@
 		selfRepair: cfg.SelfRepair,
 		losses:     cfg.Losses,
 		leaving:    make(map[string]time.Time),
+
+		lostFolders: make(map[string]bool),
 	}
 	if cfg.Snapshot != nil {
 		c.log.reset(cfg.Snapshot.Index, cfg.Snapshot.Term)
@@ -165,6 +170,7 @@
 	c.log.entries = cfg.Entries
 	c.savedIndex = c.log.last()
 	c.hard.Commit = max(c.hard.Commit, c.applied)
+	c.savedHard.Commit = c.hard.Commit
 	c.reloadMembers(cfg.Now)
 	// Before the restart, the replica may have acknowledged a heartbeat on which
 	// a leader's lease still rests.
@@ -218,21 +224,15 @@
 // quorumAck returns the latest time on the leader's clock at which it sent
 // messages that a quorum has answered.
 func (c *Core) quorumAck(now time.Time) time.Duration {
-	acks := make([]time.Duration, 0, len(c.members.List))
-	for _, m := range c.members.List {
-		switch {
-		case !m.Voter:
-		case m.Name == c.name:
-			acks = append(acks, c.sinceEpoch(now))
-		default:
-			acks = append(acks, c.peers[m.Name].ackedSentAt)
+	return agreed(c, func(name string) time.Duration {
+		if name == c.name {
+			return c.sinceEpoch(now)
+		}
+		if p := c.peers[name]; p != nil {
+			return p.ackedSentAt
 		}
-	}
-	if len(acks) == 0 {
 		return 0
-	}
-	slices.Sort(acks)
-	return acks[len(acks)-c.members.Quorum()]
+	})
 }
 
 func (c *Core) trackPeers(now time.Time) {
@@ -288,7 +288,7 @@
 		return bronzerill.Errorf(bronzerill.KindInternal, "encode members: %v", err)
 	}
 	c.membersIndex = c.appendEntry(EntryMembers, data)
-	c.members = next
+	c.before, c.members = c.members, next
 	c.trackPeers(now)
 	c.broadcast(now)
 	return nil
@@ -335,14 +335,14 @@
 
 // reloadMembers finds the newest member list after the log has changed.
 func (c *Core) reloadMembers(now time.Time) {
-	c.members = c.baseMembers
+	c.members, c.before = c.baseMembers, c.baseMembers
 	c.membersIndex = c.log.base
 	for _, e := range c.log.entries {
 		if e.Type != EntryMembers {
 			continue
 		}
 		if m, err := decodeMembers(e.Data); err == nil {
-			c.members = m
+			c.before, c.members = c.members, m
 			c.membersIndex = e.Index
 		}
 	}
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -61,9 +61,9 @@
 	if c.countVotes(now) {
 		return
 	}
-	for _, m := range c.members.List {
-		if m.Voter && m.Name != c.name {
-			c.send(Message{Type: kind, To: m.Name, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: transfer})
+	for _, name := range c.electorate() {
+		if name != c.name {
+			c.send(Message{Type: kind, To: name, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: transfer})
 		}
 	}
 }
@@ -71,13 +71,13 @@
 // countVotes starts the next stage of the election and returns true if a quorum
 // has granted its votes.
 func (c *Core) countVotes(now time.Time) bool {
-	granted := 0
-	for name, yes := range c.votes {
-		if yes && c.members.IsVoter(name) {
-			granted++
+	granted := agreed(c, func(name string) int {
+		if c.votes[name] {
+			return 1
 		}
-	}
-	if granted < c.members.Quorum() {
+		return 0
+	})
+	if granted == 0 {
 		return false
 	}
 	if c.role == preCandidate {
--- a/internal/control/replica/ready.go
+++ b/internal/control/replica/ready.go
@@ -8,7 +8,9 @@
 	c.receivedSnapshot = nil
 	// A new commit index alone needs no sync: a restarted replica receives it
 	// again from the leader.
-	hardChanged := c.hard.Term != c.savedHard.Term || c.hard.Vote != c.savedHard.Vote
+	// That of a member list is an exception: until it is known, elections need the list before as well.
+	membersCommitted := c.isMembersCommitted() && c.savedHard.Commit < c.membersIndex
+	hardChanged := c.hard.Term != c.savedHard.Term || c.hard.Vote != c.savedHard.Vote || membersCommitted
 	if hardChanged || c.log.unsaved > 0 {
 		hard := c.hard
 		r.HardState = &hard
--- a/internal/control/replica/replacement_test.go
+++ b/internal/control/replica/replacement_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -19,6 +20,8 @@
 	membershipInterval = 200 * time.Millisecond
 	// leaderTimeout is the time without a leader after which a voter asks to join.
 	leaderTimeout = 1500 * time.Millisecond
+	// askTimeout is the time without a leader after which a replica asks for the folders of the others.
+	askTimeout = 500 * time.Millisecond
 	// downTime is how long a machine is down that loses its disk.
 	downTime = time.Second
 	// recoveryTime is the time after a loss in which the group must accept changes again.
@@ -87,6 +90,7 @@
 	if g.nodes[m.replica].down {
 		return
 	}
+	g.markLost(m)
 	lead := g.leader()
 	if m.leaving {
 		if core.IsLeader() {
@@ -108,6 +112,20 @@
 	}
 }
 
+// markLost lets a replica ask the machines of the other voters for their data folders.
+func (g *machineGroup) markLost(m *machine) {
+	core := g.nodes[m.replica].core
+	if core.Leader() != "" && !core.IsLeader() || g.now.Sub(m.leaderSeenAt) < askTimeout && !core.IsLeader() {
+		return
+	}
+	for _, member := range core.Members().List {
+		other, found := g.machines[member.Addr]
+		if found && member.Folder != "" && slices.Contains(g.addrs, member.Addr) && !g.nodes[other.replica].down && other.replica != member.Name {
+			core.MarkLost(member.Folder)
+		}
+	}
+}
+
 // add starts a machine with an empty disk.
 func (g *machineGroup) add(addr string) {
 	g.lives++
--- a/internal/control/replica/step.go
+++ b/internal/control/replica/step.go
@@ -184,21 +184,15 @@
 // advanceCommit commits the entries that a quorum has saved, if the last of
 // them is of the current term.
 func (c *Core) advanceCommit() {
-	matches := make([]uint64, 0, len(c.members.List))
-	for _, m := range c.members.List {
-		switch {
-		case !m.Voter:
-		case m.Name == c.name:
-			matches = append(matches, c.savedIndex)
-		default:
-			matches = append(matches, c.peers[m.Name].match)
+	index := agreed(c, func(name string) uint64 {
+		if name == c.name {
+			return c.savedIndex
 		}
-	}
-	if len(matches) == 0 {
-		return
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-c.members.Quorum()]
+		if p := c.peers[name]; p != nil {
+			return p.match
+		}
+		return 0
+	})
 	if term, ok := c.log.term(index); ok && term == c.hard.Term {
 		c.commitTo(index)
 	}
--- a/internal/router/peer/call.go
+++ b/internal/router/peer/call.go
@@ -104,6 +104,17 @@
 	Detail string
 }
 
+// DiskRequest asks what the disk of the router's replica holds.
+type DiskRequest struct{}
+
+// DiskReply says what the disk holds. The folder is empty if no replica runs.
+type DiskReply struct {
+	// Folder is the ID of the data folder.
+	Folder string
+	// Tail is where the log on the disk ends.
+	Tail replica.Tail
+}
+
 // DirectoryRequest asks for the prefix directory.
 type DirectoryRequest struct{}
 
@@ -166,6 +177,7 @@
 	ZoneRevision(ctx context.Context, zone string) (ZoneRevision, error)
 	Join(ctx context.Context, r JoinRequest) error
 	Leave(name string) error
+	Disk() (folder string, tail replica.Tail)
 	Bootstrap(r BootstrapRequest) BootstrapReply
 	Directory(now time.Time) placement.DirectorySnapshot
 	StreamVersion(stream StreamKey) (placement.VersionKey, bool)
@@ -253,6 +265,12 @@
 	return nil
 }
 
+// Disk replies with what the disk holds.
+func (r *RPC) Disk(_ *DiskRequest, out *DiskReply) error {
+	out.Folder, out.Tail = r.handler.Disk()
+	return nil
+}
+
 // Directory replies with the prefix directory.
 func (r *RPC) Directory(_ *DirectoryRequest, out *DirectoryReply) error {
 	out.Directory = r.handler.Directory(r.clock())
--- a/internal/run/router/group.go
+++ b/internal/run/router/group.go
@@ -188,6 +188,7 @@
 		g.leave(ctx, node, now)
 		return
 	}
+	g.findLostDisks(ctx, node, now)
 	isVoter := status.Members.IsVoter(status.Name)
 	if status.Leader != "" {
 		g.leaderSeenAt = now
--- a/internal/wire/compat/compat_test.go
+++ b/internal/wire/compat/compat_test.go
@@ -58,6 +58,8 @@
 	"replica.Batch":              replica.Batch{},
 	"neighbour.StateRequest":     peer.StateRequest{},
 	"neighbour.StateReply":       peer.StateReply{},
+	"neighbour.DiskRequest":      peer.DiskRequest{},
+	"neighbour.DiskReply":        peer.DiskReply{},
 	"neighbour.ListReply":        peer.ListReply{},
 	"neighbour.ListReply.2":      peer.ListReply{},
 	"neighbour.ProposeRequest":   peer.ProposeRequest{},
