--- a/internal/run/router/confirm.go
+++ b/internal/run/router/confirm.go
@@ -19,7 +19,7 @@
 	// confirmBackoff is the time after a failed attempt in which there is no other one.
 	confirmBackoff = 200 * time.Millisecond
 	// admitInterval is the time between attempts until the first state is in force.
-	admitInterval = 100 * time.Millisecond
+	admitInterval = 50 * time.Millisecond
 	// pauseThreshold is the time without a beat from which on the process counts as having been paused. There is a beat in
 	// each round of maintenance.
 	pauseThreshold = time.Second
@@ -31,6 +31,8 @@
 	Newest(ctx context.Context) (declared.State, error)
 	// hasLeader reports whether a leader is known that can be asked.
 	hasLeader(now time.Time) bool
+	// recoverState reports whether the log of this router's replica is known to have all that was acknowledged.
+	recoverState(ctx context.Context, now time.Time) bool
 }
 
 var errNoLeader = errors.New("no leader is known")
@@ -150,6 +152,7 @@
 	admit := time.NewTicker(admitInterval)
 	defer admit.Stop()
 	ticks := admit.C
+	h.admit(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -163,11 +166,26 @@
 				admit.Stop()
 				continue
 			}
-			h.read(ctx)
+			h.admit(ctx)
 		}
 	}
 }
 
+// admit puts a first state in force: the newest one, or without a leader that of the own log if it is the newest for certain.
+func (h *stateHolder) admit(ctx context.Context) {
+	now := time.Now()
+	if h.newest.hasLeader(now) {
+		h.read(ctx)
+		return
+	}
+	if h.newest.recoverState(ctx, now) {
+		h.mu.Lock()
+		logged := h.logged
+		h.mu.Unlock()
+		h.update(logged, "log")
+	}
+}
+
 // read reads the newest state and puts it in force.
 func (h *stateHolder) read(ctx context.Context) {
 	startedAt := h.clock()
--- a/internal/run/router/confirm_test.go
+++ b/internal/run/router/confirm_test.go
@@ -38,12 +38,15 @@
 
 // fakeGroup is a control group whose newest state is set by tests.
 type fakeGroup struct {
-	newest atomic.Pointer[declared.State]
-	reads  atomic.Int32
+	newest    atomic.Pointer[declared.State]
+	reads     atomic.Int32
+	recovered atomic.Bool
 }
 
 func (g *fakeGroup) hasLeader(time.Time) bool { return g.newest.Load() != nil }
 
+func (g *fakeGroup) recoverState(context.Context, time.Time) bool { return g.recovered.Load() }
+
 func (g *fakeGroup) Newest(context.Context) (declared.State, error) {
 	g.reads.Add(1)
 	return *g.newest.Load(), nil
@@ -91,6 +94,15 @@
 	require.EqualValues(t, 5, h.Revision())
 }
 
+// Guards against routers that serve nobody until a leader is elected, although the disks of a quorum show that the log
+// has all that was acknowledged.
+func TestFirstStateIsThatOfARecoveredLog(t *testing.T) {
+	h := newConfirmedHolder(t)
+	h.updateFromLog(newState(4, 8, "/a/"), "log")
+	h.group.recovered.Store(true)
+	require.Eventually(t, func() bool { return h.Revision() == 4 }, 5*time.Second, time.Millisecond)
+}
+
 func TestFirstStateIsReadFromTheGroup(t *testing.T) {
 	h := newConfirmedHolder(t)
 	h.updateFromLog(newState(4, 8, "/a/"), "log")
