--- a/internal/entry/agent/forwarder.go
+++ b/internal/entry/agent/forwarder.go
@@ -44,8 +44,10 @@
 	Fleet   Fleet
 	Crashes CrashReporter
 	Clock   func() time.Time
-	Log     hclog.Logger
-	Seed    uint64
+	// LeaseClock is the clock of the lease. The default is Clock.
+	LeaseClock func() time.Time
+	Log        hclog.Logger
+	Seed       uint64
 }
 
 // Request is a caller's request with its routing parameters.
@@ -69,6 +71,9 @@
 
 // NewForwarder returns a forwarder.
 func NewForwarder(cfg ForwarderConfig) *Forwarder {
+	if cfg.LeaseClock == nil {
+		cfg.LeaseClock = cfg.Clock
+	}
 	return &Forwarder{cfg: cfg, backoffs: NewBackoffs(cfg.Seed), budget: NewRetryBudget(cfg.Clock())}
 }
 
@@ -134,7 +139,7 @@
 func (s *search) plan(key uint64) (Plan, error) {
 	now := s.cfg.Clock()
 	view := s.cfg.Fleet.View()
-	if !view.HasLease(now) {
+	if !view.HasLease(s.cfg.LeaseClock()) {
 		return Plan{}, bronzerill.Errorf(bronzerill.KindLeaseLapsed, "this entry has no valid lease")
 	}
 	planner := Planner{Ring: s.cfg.Fleet.Ring(s.request.Policy.Pool), Config: view.Config, Backoffs: s.backoffs}
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -42,7 +42,9 @@
 	Forwarder Forwarder
 	View      func() *control.View
 	Clock     func() time.Time
-	Log       hclog.Logger
+	// LeaseClock is the clock of the lease. The default is Clock.
+	LeaseClock func() time.Time
+	Log        hclog.Logger
 	// Secret is the key that signs hints.
 	Secret string
 	// Memory is what the bodies of all requests may take. The default is defaultMemory.
@@ -62,6 +64,9 @@
 	if cfg.Memory == nil {
 		cfg.Memory = memory.NewBudget(defaultMemory)
 	}
+	if cfg.LeaseClock == nil {
+		cfg.LeaseClock = cfg.Clock
+	}
 	return &Server{cfg: cfg, hintSigner: hintSigner{secret: []byte(cfg.Secret)}, failedLog: journal.NewLimiter("refused", maxFailedLines)}
 }
 
@@ -101,7 +106,7 @@
 
 func (s *Server) parseRequest(r *http.Request, id string, body *requestBody, parse requestParser) (agent.Request, time.Duration, error) {
 	view := s.cfg.View()
-	if !view.HasLease(s.cfg.Clock()) {
+	if !view.HasLease(s.cfg.LeaseClock()) {
 		return agent.Request{}, 0, bronzerill.Errorf(bronzerill.KindLeaseLapsed, "this entry has no valid lease")
 	}
 	customer, err := authenticate(view.Config, r)
--- a/internal/entry/caller/server_test.go
+++ b/internal/entry/caller/server_test.go
@@ -82,6 +82,28 @@
 	return web.URL
 }
 
+// Guards against 401 and 404 by a configuration whose lease lapsed while the machine was suspended (issue 55).
+func TestSuspendedEntryRefusesNothingForGood(t *testing.T) {
+	view := &control.View{Config: testConfig(), LeaseUntil: now.Add(time.Second)}
+	suspended := time.Duration(0)
+	s := NewServer(ServerConfig{
+		Forwarder: &fakeForwarder{}, View: func() *control.View { return view }, Clock: func() time.Time { return now },
+		LeaseClock: func() time.Time { return now.Add(suspended) }, Log: hclog.NewNullLogger(),
+	})
+	status := func(key, model string) int {
+		r := httptest.NewRequest(http.MethodPost, PathChat, strings.NewReader(`{"model":"`+model+`"}`))
+		r.Header.Set("Authorization", "Bearer "+key)
+		w := httptest.NewRecorder()
+		s.Handler().ServeHTTP(w, r)
+		return w.Code
+	}
+	require.Equal(t, http.StatusUnauthorized, status("new-key", "guide"))
+	require.Equal(t, http.StatusNotFound, status(apiKey, "new-policy"))
+	suspended = time.Minute
+	require.Equal(t, http.StatusServiceUnavailable, status("new-key", "guide"))
+	require.Equal(t, http.StatusServiceUnavailable, status(apiKey, "new-policy"))
+}
+
 // request is a caller's request.
 type request struct {
 	method, path, body string
--- a/internal/run/control/role.go
+++ b/internal/run/control/role.go
@@ -17,6 +17,7 @@
 	"bronzerill/internal/control/replica"
 	"bronzerill/internal/control/state"
 	"bronzerill/internal/platform/list"
+	"bronzerill/internal/run/boot"
 	"bronzerill/internal/settings/file"
 	wire "bronzerill/internal/wire/control"
 	"bronzerill/internal/wire/netrpc"
@@ -39,6 +40,8 @@
 type Role struct {
 	node *replica.Node
 	api  *operator.API
+	// clock is the boot clock: a leader's lease lapses also while its machine is suspended.
+	clock func() time.Time
 }
 
 // Start opens the data folder, listens for the other replicas and for the
@@ -54,6 +57,12 @@
 		_ = store.Close()
 		return nil, errors.Wrap(err, "control.listen")
 	}
+	clock, err := boot.SystemClock(time.Now())
+	if err != nil {
+		_ = store.Close()
+		_ = listener.Close()
+		return nil, err
+	}
 	secret := netrpc.Secret(cfg.Secret)
 	machine := state.NewMachine()
 	node, err := replica.NewNode(replica.NodeConfig{
@@ -61,7 +70,7 @@
 		StateMachine: machine,
 		Transport:    replica.NewRPCTransport(ctx, group, secret, cfg.Log),
 		Log:          cfg.Log,
-		Clock:        time.Now,
+		Clock:        clock.Now,
 		Seed:         xxhash.Sum64String(cfg.Settings.Name),
 		Addr:         settings.Listen,
 	})
@@ -69,7 +78,7 @@
 		_ = store.Close()
 		return nil, err
 	}
-	service := newService(settings, node, machine, cfg.Log)
+	service := newService(settings, node, machine, clock.Now, cfg.Log)
 	rpc := netrpc.NewServer(secret, cfg.Log)
 	if err := rpc.Register(replica.Service, replica.NewRPC(node)); err != nil {
 		return nil, err
@@ -84,8 +93,8 @@
 	group.Go(func() error { return rpc.Serve(ctx, listener) })
 	group.Go(func() error { return service.Run(ctx) })
 	group.Go(func() error { return service.RunList(ctx) })
-	api := operator.NewAPI(operator.Config{Control: service, Members: node, Machine: machine, Clock: time.Now})
-	return &Role{node: node, api: api}, nil
+	api := operator.NewAPI(operator.Config{Control: service, Members: node, Machine: machine, Clock: clock.Now})
+	return &Role{node: node, api: api, clock: clock.Now}, nil
 }
 
 func firstError(err, second error) error {
@@ -95,7 +104,7 @@
 	return second
 }
 
-func newService(settings file.Replica, node *replica.Node, machine *state.Machine, log hclog.Logger) *holder.Service {
+func newService(settings file.Replica, node *replica.Node, machine *state.Machine, clock func() time.Time, log hclog.Logger) *holder.Service {
 	var source list.Source
 	if settings.InstanceList != "" {
 		source = list.NewSource(settings.InstanceList)
@@ -104,10 +113,10 @@
 		Group:   node,
 		Machine: machine,
 		List:    source,
-		Clock:   time.Now,
+		Clock:   clock,
 		Log:     log,
 		LeaderAddr: func(name string) string {
-			member, _ := node.Status(time.Now()).Members.Get(name)
+			member, _ := node.Status(clock()).Members.Get(name)
 			return member.Addr
 		},
 	})
@@ -117,18 +126,18 @@
 func (r *Role) API() http.Handler { return r.api.Handler() }
 
 // Ready reports whether the group has a leader.
-func (r *Role) Ready() bool { return r.node.Status(time.Now()).Leader != "" }
+func (r *Role) Ready() bool { return r.node.Status(r.clock()).Leader != "" }
 
 // Drain transfers the leadership to another replica. It does nothing if this
 // replica isn't the leader.
 func (r *Role) Drain(ctx context.Context) error {
-	if !r.node.Status(time.Now()).IsLeader {
+	if !r.node.Status(r.clock()).IsLeader {
 		return nil
 	}
 	r.node.TransferLeadership()
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	for r.node.Status(time.Now()).IsLeader {
+	for r.node.Status(r.clock()).IsLeader {
 		select {
 		case <-ctx.Done():
 			return errors.New("no other replica took over leadership in time")
--- a/internal/run/entry/role.go
+++ b/internal/run/entry/role.go
@@ -15,6 +15,7 @@
 
 	"bronzerill/internal/entry/agent"
 	"bronzerill/internal/entry/caller"
+	"bronzerill/internal/run/boot"
 	"bronzerill/internal/run/limits"
 	"bronzerill/internal/run/ticker"
 	"bronzerill/internal/settings/file"
@@ -44,8 +45,10 @@
 type Role struct {
 	settings file.Entry
 	renewer  *wire.LeaseRenewer
-	port     *httpport.Port
-	draining atomic.Bool
+	// leaseClock is the boot clock: the lease lapses also while the machine is suspended.
+	leaseClock func() time.Time
+	port       *httpport.Port
+	draining   atomic.Bool
 }
 
 // Start listens on the callers' port and begins to renew the lease.
@@ -54,6 +57,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry.listen")
 	}
+	leaseClock, err := boot.SystemClock(time.Now())
+	if err != nil {
+		_ = port.Close()
+		return nil, err
+	}
 	rings := &rings{}
 	renewer := wire.NewLeaseRenewer(wire.LeaseRenewerConfig{
 		Client: cfg.Client,
@@ -61,7 +69,7 @@
 		// sharing the lease of its replacement.
 		Holder:          cfg.Settings.Name + "/" + uuid.NewString(),
 		RenewalInterval: wire.EntryRenewalInterval,
-		Clock:           time.Now,
+		Clock:           leaseClock.Now,
 		Log:             cfg.Log,
 		OnChange:        rings.update,
 		// An entry always needs the server table.
@@ -69,22 +77,24 @@
 	})
 	client := agent.NewClient(agent.ClientConfig{Secret: cfg.Secret})
 	forwarder := agent.NewForwarder(agent.ForwarderConfig{
-		Client:  client,
-		Fleet:   &fleet{renewer, rings},
-		Crashes: cfg.Client,
-		Clock:   time.Now,
-		Log:     cfg.Log,
-		Seed:    xxhash.Sum64String(cfg.Settings.Name),
+		Client:     client,
+		Fleet:      &fleet{renewer, rings},
+		Crashes:    cfg.Client,
+		Clock:      time.Now,
+		LeaseClock: leaseClock.Now,
+		Log:        cfg.Log,
+		Seed:       xxhash.Sum64String(cfg.Settings.Name),
 	})
 	callerServer := caller.NewServer(caller.ServerConfig{
-		Forwarder: forwarder,
-		View:      renewer.View,
-		Clock:     time.Now,
-		Log:       cfg.Log,
-		Secret:    cfg.Secret,
-		Memory:    cfg.Limits.Memory,
+		Forwarder:  forwarder,
+		View:       renewer.View,
+		Clock:      time.Now,
+		LeaseClock: leaseClock.Now,
+		Log:        cfg.Log,
+		Secret:     cfg.Secret,
+		Memory:     cfg.Limits.Memory,
 	})
-	r := &Role{settings: *cfg.Settings.Entry, renewer: renewer, port: port}
+	r := &Role{settings: *cfg.Settings.Entry, renewer: renewer, leaseClock: leaseClock.Now, port: port}
 	httpServer := &http.Server{
 		Handler:           httpport.CloseWhen(r.draining.Load, callerServer.Handler()),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -109,7 +119,7 @@
 // Ready reports whether the balancer should send callers to this entry: it holds
 // a lease and isn't draining.
 func (r *Role) Ready() bool {
-	return !r.draining.Load() && r.renewer.View().HasLease(time.Now())
+	return !r.draining.Load() && r.renewer.View().HasLease(r.leaseClock())
 }
 
 // Drain reports the entry as not ready and keeps serving for BalancerDelay, while
