--- a/cmd/bronzerill-soak/play.go
+++ b/cmd/bronzerill-soak/play.go
@@ -75,6 +75,9 @@
 		injectFaults(ctx, cfg, f, w)
 		w.hasStrays.Store(false)
 		err := killAllInTurn(cfg, f, w, c, rand.New(rand.NewPCG(cfg.seed, 4)))
+		if err == nil {
+			err = stormStates(cfg, f, w, o, rand.New(rand.NewPCG(cfg.seed, 15)))
+		}
 		if err == nil {
 			err = stopInRelease(cfg, f, w, c, rand.New(rand.NewPCG(cfg.seed, 6)))
 		}
--- a/cmd/bronzerill-soak/replace.go
+++ b/cmd/bronzerill-soak/replace.go
@@ -16,21 +16,42 @@
 	maxLateSuccessor = 2 * time.Second
 	// maxLossDelay is the longest time from the end of a replacement to the loss of another disk.
 	maxLossDelay = 2500 * time.Millisecond
+	// maxVanishDelay is the same for a predecessor that ends without a signal: its successor counts already.
+	maxVanishDelay = time.Second
 	// recoveryTime is the time after a loss in which declared states must be accepted again.
 	recoveryTime = 12 * time.Second
 )
 
+// replacement is how a machine is replaced.
+type replacement int
+
+const (
+	// planned: the successor is started first, and the predecessor stops in order.
+	planned replacement = iota
+	// sudden: the predecessor ends without a signal, and the successor comes later.
+	sudden
+	// vanished: the successor is started first, and the predecessor ends without a signal.
+	vanished
+	replacementCount
+)
+
+func (r replacement) String() string { return [...]string{"planned", "sudden", "vanished"}[r] }
+
 // replaceCore replaces machines of the core at other addresses, as planned or suddenly. Soon after each, another one
 // loses its disk.
 func replaceCore(cfg config, f *fleet, w *world, o *operator, random *rand.Rand) error {
 	for round := range replacements {
 		i := random.IntN(cfg.disks)
-		planned := random.IntN(2) == 0
+		kind := replacement((int(cfg.seed) + round) % int(replacementCount))
 		cfg.recordDisturbance()
-		if err := f.replace(cfg, w, i, planned, random); err != nil {
+		if err := f.replace(cfg, w, i, kind, random); err != nil {
 			return err
 		}
-		delay := time.Duration(random.Int64N(int64(maxLossDelay)))
+		longest := maxLossDelay
+		if kind == vanished {
+			longest = maxVanishDelay
+		}
+		delay := time.Duration(random.Int64N(int64(longest)))
 		time.Sleep(delay)
 		loser := f.nodes[(i+1+random.IntN(cfg.disks-1))%cfg.disks]
 		f.signal(loser, syscall.SIGKILL)
@@ -48,30 +69,31 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		if o.ackCount.Load() == before {
-			w.addViolation("no declared state was accepted within %v: round %d, router %d was replaced (planned: %t), and router %d lost its disk after %v", recoveryTime, round, i, planned, loser.index, delay)
+			w.addViolation("no declared state was accepted within %v: round %d, router %d was replaced (%s), and router %d lost its disk after %v", recoveryTime, round, i, kind, loser.index, delay)
 		}
 	}
 	time.Sleep(settleTime)
 	return nil
 }
 
-// replace puts a new machine in the place of a router's. A planned replacement starts the successor first, and stops the
-// predecessor in order.
-func (f *fleet) replace(cfg config, w *world, i int, planned bool, random *rand.Rand) error {
+// replace puts a new machine in the place of a router's.
+func (f *fleet) replace(cfg config, w *world, i int, kind replacement, random *rand.Rand) error {
 	leaving := f.nodes[i]
 	successor := &node{index: i, generation: leaving.generation + 1, hasDisk: true}
 	var err error
 	if successor.link, err = newLink(cfg, f.linkAddrOf(i, successor.generation), f.addrOf(i, successor.generation, "internal")); err != nil {
 		return err
 	}
-	if planned {
+	if kind != sudden {
 		if err := f.start(successor); err != nil {
 			return err
 		}
 		time.Sleep(catchUpTime)
 		f.takePlace(successor)
-		f.signal(leaving, syscall.SIGTERM)
-		if !f.await(leaving, 9*time.Second) {
+		if kind == vanished {
+			f.signal(leaving, syscall.SIGKILL)
+			f.await(leaving, time.Second)
+		} else if f.signal(leaving, syscall.SIGTERM); !f.await(leaving, 9*time.Second) {
 			w.addViolation("router %d did not exit cleanly after SIGTERM, when it was replaced", i)
 		}
 	} else {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -250,6 +250,17 @@
 mutant "disk: a replica refuses votes after each start" $R/core.go 's/if !cfg\.LastContact\.IsZero\(\) \{/if false {/' $R TestReplicaVotesOnce
 mutant "disk: unfinished snapshots stay" $R/store.go 's/err = s\.removeUnused\(saved\)/_ = saved/' $R TestUnfinishedSnapshots
 mutant "disk: any number of bytes waits for a quorum" $R/core.go 's/> maxUncommittedBytes \{/> 1000*maxUncommittedBytes {/' $R TestLeaderBoundsTheBytes
+mutant "stale: refusals rest on any state" $O/confirm.go 's/^\treturn !c\.at\.IsZero\(\).*/\treturn true/' $O TestRefusalsRest
+mutant "stale: callers are refused by any state" $C/handler.go 's/^\t\treturn bronzerill\.KindUnconfirmed$/\t\t_ = confirmed/' $C TestRefusalsNeed
+mutant "stale: a state of the log is in force at once" $O/holder.go 's/^\tif !h\.admitted \{/\tif false {/' $O TestStateFromTheLog
+mutant "stale: a paused router asks nobody" $O/confirm.go 's/^\treturn !c\.pausedAt\.IsZero.*/\treturn false/' $O TestPausedRouter
+mutant "stale: one silent peer keeps a router from the newer state" $O/fetch.go 's/^\tfetchHedge = .*/\tfetchHedge = fetchTimeout/' $O TestSilentPeers
+mutant "stale: a log of an earlier term counts as committed" $R/recovery.go 's/ \|\| own\.LogTerm != own\.Term//' $R TestDisksThatDiffer
+mutant "stale: one disk shows what was committed" $R/recovery.go 's/tails\[name\] == own/true/' $R TestDisksOf
+mutant "stale: the write of a call has no limit" internal/wire/netrpc/client.go 's/^\tstarted := c\.start\(func\(\) \{ (.*) \}\)$/\t\1\n\tstarted := true/' internal/wire/netrpc TestCallsEndInTime
+mutant "lost disk: it changes no quorum" $R/quorum.go 's/lost > 0 \&\& committed/false \&\& lost > 0 \&\& committed/' $R TestDiskLostAsOne
+mutant "lost disk: quorums of two lists needn't overlap" $R/quorum.go 's/^\tif c\.needsListBefore\(\) \{/\tif false {/' $R TestQuorumsOverlap
+mutant "lost disk: entries may be on one disk" $R/quorum.go 's/, c\.losses\+1\)\)/, 1))/' $R TestQuorumsOverlap
 
 if [ "$survived" -gt 0 ]; then
 	echo "$survived mutants were not caught"
