--- a/internal/router/peer/table.go
+++ b/internal/router/peer/table.go
@@ -101,7 +101,11 @@
 		return false
 	}
 	p := t.upsert(now, d.From)
-	if d.From.Started < p.Started || d.From.Started == p.Started && d.Sequence <= p.sequence {
+	if d.From.Started == p.Started && d.Sequence <= p.sequence {
+		return false
+	}
+	// A process that seems to have started earlier may have been started after its clock was set back.
+	if d.From.Started < p.Started && now.Sub(p.digestAt) < aliveTimeout {
 		return false
 	}
 	p.Peer = d.From
--- a/internal/router/peer/table_test.go
+++ b/internal/router/peer/table_test.go
@@ -219,3 +219,21 @@
 	require.Equal(t, []string{"seed:1", "a:1", "b:1"}, table.Targets(start, false))
 	require.Equal(t, []string{"seed:1"}, table.Targets(start.Add(3*time.Second), false))
 }
+
+// Guards against a restarted router that its peers don't hear, since its clock was set back meanwhile (issue 55).
+func TestRestartedPeerWithAnEarlierClockIsHeard(t *testing.T) {
+	table := newTable()
+	before := digest("a", 100)
+	before.From.Started = 10
+	require.True(t, table.Receive(start, before))
+
+	restarted := digest("a", 1)
+	restarted.Revision = 7
+	restarted.From.Started = 5
+	require.False(t, table.Receive(start.Add(aliveTimeout/2), restarted), "a late digest of an earlier process")
+	now := start.Add(aliveTimeout)
+	require.True(t, table.Receive(now, restarted))
+	require.Equal(t, []string{"a:1"}, table.Newer(now, 6))
+	restarted.Sequence = 2
+	require.True(t, table.Receive(now.Add(time.Millisecond), restarted))
+}
