--- a/cmd/bronzerill-soak/replace.go
+++ b/cmd/bronzerill-soak/replace.go
@@ -90,11 +90,15 @@
 		}
 		time.Sleep(catchUpTime)
 		f.takePlace(successor)
-		if kind == vanished {
+		switch kind {
+		case planned:
+			f.signal(leaving, syscall.SIGTERM)
+			if !f.await(leaving, 9*time.Second) {
+				w.addViolation("router %d did not exit cleanly after SIGTERM, when it was replaced", i)
+			}
+		default:
 			f.signal(leaving, syscall.SIGKILL)
 			f.await(leaving, time.Second)
-		} else if f.signal(leaving, syscall.SIGTERM); !f.await(leaving, 9*time.Second) {
-			w.addViolation("router %d did not exit cleanly after SIGTERM, when it was replaced", i)
 		}
 	} else {
 		f.signal(leaving, syscall.SIGKILL)
--- a/internal/control/replica/quorum_test.go
+++ b/internal/control/replica/quorum_test.go
@@ -45,6 +45,17 @@
 	return c
 }
 
+// Guards against changes that are acknowledged although they are on no more disks than may be lost.
+func TestQuorumAfterALossOutnumbersTheLosses(t *testing.T) {
+	for voters := 1; voters <= maxTestVoters; voters++ {
+		for losses := 1; losses < 4; losses++ {
+			c := &Core{losses: losses}
+			m := votersOf(uint(1)<<voters - 1)
+			require.GreaterOrEqual(t, c.quorumAfterLoss(m), min(m.Quorum(), losses+1), "%d voters, %d losses", voters, losses)
+		}
+	}
+}
+
 // Guards against two quorums without a common voter: what one has decided before disks were lost, the other must know of,
 // although it doesn't know the list of members that the first one goes by.
 func TestQuorumsOverlapInWhatIsLeft(t *testing.T) {
--- a/internal/run/router/confirm_test.go
+++ b/internal/run/router/confirm_test.go
@@ -17,7 +17,7 @@
 
 func TestConfirmation(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	read := confirmation{}.withBeat(start).withRead(at(100*time.Millisecond), at(50*time.Millisecond), true)
 	require.False(t, confirmation{}.holds(start), "nothing was read")
 	require.True(t, read.holds(at(50*time.Millisecond+confirmedFor-1)))
--- a/internal/wire/netrpc/client.go
+++ b/internal/wire/netrpc/client.go
@@ -162,7 +162,7 @@
 // end resets the connection, which fails the calls on it.
 func (c *clientConn) end() {
 	_ = tcp.Reset(c.transport)
-	_ = c.Client.Close() // its connection is closed already
+	_ = c.Close() // its connection is closed already
 }
 
 // Close closes the connection, if any, and waits until nothing uses it any more. Later calls fail.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -260,7 +260,7 @@
 mutant "stale: the write of a call has no limit" internal/wire/netrpc/client.go 's/^\tstarted := c\.start\(func\(\) \{ (.*) \}\)$/\t\1\n\tstarted := true/' internal/wire/netrpc TestCallsEndInTime
 mutant "lost disk: it changes no quorum" $R/quorum.go 's/lost > 0 \&\& committed/false \&\& lost > 0 \&\& committed/' $R TestDiskLostAsOne
 mutant "lost disk: quorums of two lists needn't overlap" $R/quorum.go 's/^\tif c\.needsListBefore\(\) \{/\tif false {/' $R TestQuorumsOverlap
-mutant "lost disk: entries may be on one disk" $R/quorum.go 's/, c\.losses\+1\)\)/, 1))/' $R TestQuorumsOverlap
+mutant "lost disk: entries may be on one disk" $R/quorum.go 's/, c\.losses\+1\)\)/, 1))/' $R TestQuorumAfterALoss
 
 if [ "$survived" -gt 0 ]; then
 	echo "$survived mutants were not caught"
