--- a/internal/run/router/confirm.go
+++ b/internal/run/router/confirm.go
@@ -189,8 +189,12 @@
 // read reads the newest state and puts it in force.
 func (h *stateHolder) read(ctx context.Context) {
 	startedAt := h.clock()
+	h.mu.Lock()
+	doubtful := h.confirmation.isDoubtful(startedAt)
+	h.mu.Unlock()
 	state, err := declared.State{}, errNoLeader
-	if h.newest.hasLeader(time.Now()) {
+	// After a pause, peers look silent until their next digests tell who leads.
+	if doubtful || h.newest.hasLeader(time.Now()) {
 		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
 		state, err = h.newest.Newest(ctx)
--- a/internal/run/router/confirm_test.go
+++ b/internal/run/router/confirm_test.go
@@ -47,8 +47,16 @@
 
 func (g *fakeGroup) recoverState(context.Context, time.Time) bool { return g.recovered.Load() }
 
-func (g *fakeGroup) Newest(context.Context) (declared.State, error) {
+// Newest waits for a leader, as the group does.
+func (g *fakeGroup) Newest(ctx context.Context) (declared.State, error) {
 	g.reads.Add(1)
+	for g.newest.Load() == nil {
+		select {
+		case <-ctx.Done():
+			return declared.State{}, ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
 	return *g.newest.Load(), nil
 }
 
@@ -148,3 +156,21 @@
 	h.advance(2 * pauseThreshold)
 	require.EqualValues(t, 6, h.Current(ctx).Number)
 }
+
+// Guards against a router that goes on by what it knew before a pause, since it hasn't yet heard again who leads (issue 55).
+func TestPausedRouterWaitsForALeader(t *testing.T) {
+	h := newConfirmedHolder(t)
+	h.update(newState(1, 5, "/a/"), "peer")
+	h.compile(time.Now())
+	ctx := context.Background()
+	require.EqualValues(t, 5, h.Current(ctx).Number)
+	h.advance(2 * pauseThreshold)
+	var later errgroup.Group
+	later.Go(func() error {
+		time.Sleep(confirmTimeout / 4)
+		h.group.set(newState(2, 6, "/b/"))
+		return nil
+	})
+	require.EqualValues(t, 6, h.Current(ctx).Number)
+	require.NoError(t, later.Wait())
+}
