--- a/internal/run/router/confirm.go
+++ b/internal/run/router/confirm.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"bronzerill/internal/control/state"
 	"bronzerill/internal/operator/metrics"
 	"bronzerill/internal/router/declared"
 )
@@ -29,6 +30,8 @@
 type newestReader interface {
 	// Newest returns the newest state by a linearizable read.
 	Newest(ctx context.Context) (declared.State, error)
+	// NewestVersions returns the noted versions by a linearizable read.
+	NewestVersions(ctx context.Context) ([]state.NotedVersion, error)
 	// hasLeader reports whether a leader is known that can be asked.
 	hasLeader(now time.Time) bool
 	// recoverState reports whether the log of this router's replica is known to have all that was acknowledged.
@@ -175,7 +178,9 @@
 func (h *stateHolder) admit(ctx context.Context) {
 	now := time.Now()
 	if h.newest.hasLeader(now) {
-		h.read(ctx)
+		if h.read(ctx) {
+			h.readVersions(ctx)
+		}
 		return
 	}
 	if h.newest.recoverState(ctx, now) {
@@ -186,28 +191,45 @@
 	}
 }
 
-// read reads the newest state and puts it in force.
-func (h *stateHolder) read(ctx context.Context) {
+// readVersions reads the noted versions, which otherwise come with the first state that a peer sends.
+func (h *stateHolder) readVersions(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	noted, err := h.newest.NewestVersions(ctx)
+	if err != nil {
+		h.log.Warn("noted versions not read", "error", err.Error())
+		return
+	}
+	versions := make([]state.ServiceVersion, len(noted))
+	for i, version := range noted {
+		versions[i] = version.ServiceVersion
+	}
+	h.onFetched(versions)
+}
+
+// read reads the newest state and puts it in force. It reports whether that has succeeded.
+func (h *stateHolder) read(ctx context.Context) bool {
 	startedAt := h.clock()
 	h.mu.Lock()
 	doubtful := h.confirmation.isDoubtful(startedAt)
 	h.mu.Unlock()
-	state, err := declared.State{}, errNoLeader
+	newest, err := declared.State{}, errNoLeader
 	// After a pause, peers look silent until their next digests tell who leads.
 	if doubtful || h.newest.hasLeader(time.Now()) {
 		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
-		state, err = h.newest.Newest(ctx)
+		newest, err = h.newest.Newest(ctx)
 	}
 	if err == nil {
-		h.update(state, "confirmation")
+		h.update(newest, "confirmation")
 		h.compile(time.Now())
 		h.endRead(startedAt, true)
-		return
+		return true
 	}
 	metrics.Count(metrics.EventStateUnconfirmed)
 	h.log.Debug("declared state not confirmed", "revision", h.Revision(), "error", err.Error())
 	h.endRead(startedAt, false)
+	return false
 }
 
 // endRead publishes the outcome of an attempt.
--- a/internal/run/router/confirm_test.go
+++ b/internal/run/router/confirm_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
+	"bronzerill/internal/control/state"
 	"bronzerill/internal/router/declared"
 	"bronzerill/internal/router/placement"
 	"bronzerill/platform"
@@ -45,6 +46,10 @@
 
 func (g *fakeGroup) hasLeader(time.Time) bool { return g.newest.Load() != nil }
 
+func (g *fakeGroup) NewestVersions(context.Context) ([]state.NotedVersion, error) {
+	return []state.NotedVersion{{ServiceVersion: state.ServiceVersion{Service: "chat", Version: "v1"}}}, nil
+}
+
 func (g *fakeGroup) recoverState(context.Context, time.Time) bool { return g.recovered.Load() }
 
 // Newest waits for a leader, as the group does.
@@ -67,6 +72,8 @@
 	*stateHolder
 	group   fakeGroup
 	elapsed atomic.Int64
+	// versions are the noted versions that were read.
+	versions atomic.Pointer[[]state.ServiceVersion]
 }
 
 func newConfirmedHolder(t *testing.T) *confirmedHolder {
@@ -76,6 +83,7 @@
 	servers := placement.NewTable(placement.Config{Name: "a", Zone: "zone-a", Seed: 1})
 	c.stateHolder = newHolder(platform.Adapter{}, servers, clock, hclog.NewNullLogger())
 	c.newest = &c.group
+	c.onFetched = func(versions []state.ServiceVersion) { c.versions.Store(&versions) }
 	ctx, stop := context.WithCancel(context.Background())
 	var tasks errgroup.Group
 	tasks.Go(func() error { return c.runConfirm(ctx) })
@@ -117,6 +125,8 @@
 	h.group.set(newState(5, 9, "/b/"))
 	require.Eventually(t, func() bool { return h.Table() != nil }, 5*time.Second, time.Millisecond)
 	require.EqualValues(t, 9, h.Table().Number)
+	require.Eventually(t, func() bool { return h.versions.Load() != nil }, 5*time.Second, time.Millisecond)
+	require.Equal(t, []state.ServiceVersion{{Service: "chat", Version: "v1"}}, *h.versions.Load(), "resumable streams need them")
 }
 
 // Guards against refusals by a state of which nobody knows whether it is the newest (issue 55).
--- a/internal/run/router/fetch.go
+++ b/internal/run/router/fetch.go
@@ -69,7 +69,8 @@
 	}
 }
 
-// runFetch fetches states from peers as requested, until ctx is done, and closes the clients. Each peer gets a while before the next one is asked.
+// runFetch fetches states from peers as requested, until ctx is done, and closes the clients. Each peer gets a while before
+// the next one is asked.
 func (h *stateHolder) runFetch(ctx context.Context, clients *peer.Clients) error {
 	defer clients.Close()
 	var group errgroup.Group
