--- a/internal/control/replica/overlap_test.go
+++ b/internal/control/replica/overlap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -65,3 +66,45 @@
 		}
 	}
 }
+
+// TestSeededLossesBesideVanishedVoters removes machines whose successors have caught up, and loses disks at any moment around
+// that, while changes are made and links lose messages. No acknowledged change may be lost, nor the quorum.
+func TestSeededLossesBesideVanishedVoters(t *testing.T) {
+	groups := []struct {
+		losses int
+		addrs  []string
+	}{{1, []string{"a", "b", "c"}}, {1, []string{"a", "b", "c", "d", "e"}}, {2, []string{"a", "b", "c", "d", "e"}}}
+	for _, group := range groups {
+		for seed := range uint64(12) {
+			random := rand.New(rand.NewPCG(seed, uint64(len(group.addrs)+group.losses)))
+			upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+			g := newMachineGroup(t, seed, group.losses, group.addrs...)
+			g.lossRate = []float64{0, 0.02}[seed%2]
+			for round := range 8 {
+				what := fmt.Sprintf("seed %d, %d founders, %d losses, round %d", seed, len(group.addrs), group.losses, round)
+				g.acknowledge(recoveryTime, what)
+				g.add(fmt.Sprintf("s%d", round))
+				g.pass(replacementDeadline + upTo(time.Second))
+				vanishing, losing := g.addrs[random.IntN(len(g.addrs))], g.addrs[random.IntN(len(g.addrs))]
+				for losing == vanishing {
+					losing = g.addrs[random.IntN(len(g.addrs))]
+				}
+				if random.IntN(2) == 0 {
+					g.acknowledge(recoveryTime, what)
+				}
+				g.remove(vanishing)
+				g.pass(upTo(1500 * time.Millisecond))
+				for _, addr := range g.addrs {
+					if random.IntN(4) == 0 {
+						g.crash(g.machines[addr].replica)
+						g.restart(addr)
+					}
+				}
+				g.loseDisk(losing)
+				g.acknowledge(recoveryTime, fmt.Sprintf("%s: %s vanished, %s lost its disk", what, vanishing, losing))
+				g.requireHistory()
+				g.pass(replacementDeadline)
+			}
+		}
+	}
+}
