Known red: no quorum if the newest of four voters vanishes as another one's disk is lost

The leader loses its disk 9 ms after the list of four voters, and the fourth voter is gone. The two others know the list and that the disk is lost, but not that the list is committed (commit 8, list at index 9), so they need three votes of four and have two, for good.

TestDiskLostAsTheNewestOfFourVotersVanishes shows it without a network, at its first moment.

--- a/internal/control/replica/overlap_test.go
+++ b/internal/control/replica/overlap_test.go
@@ -108,3 +108,26 @@
 		}
 	}
 }
+
+// The same with the fourth voter itself, at each moment from when the leader makes it one: others may not know yet that the
+// list with it is committed. The three before it lose one disk only.
+func TestDiskLostAsTheNewestOfFourVotersVanishes(t *testing.T) {
+	for _, loser := range []string{"a", "b", "c"} {
+		for steps := range 40 {
+			what := fmt.Sprintf("s is removed %d steps after it became a voter, %s loses its disk", steps, loser)
+			g := newMachineGroup(t, 1, 1, "a", "b", "c")
+			g.acknowledge(time.Second, what)
+			g.add("s")
+			for g.nodes[g.awaitLeader()].core.Members().Voters() < 4 {
+				g.pass(time.Millisecond)
+			}
+			for range steps {
+				g.step()
+			}
+			g.remove("s")
+			g.loseDisk(loser)
+			g.acknowledge(recoveryTime, what)
+			g.requireHistory()
+		}
+	}
+}
