--- a/internal/control/replica/quorum.go
+++ b/internal/control/replica/quorum.go
@@ -12,12 +12,18 @@
 //
 // While the newest member list isn't committed, a quorum of the list before is needed too if that one has smaller quorums
 // once a disk is lost. Otherwise a quorum of voters that don't know the newest list might not overlap with one that does.
+// With a quorum of the list before, the newest one has smaller quorums as well.
 func agreed[T cmp.Ordered](c *Core, value func(name string) T) T {
-	reached := agreedBy(c, c.members, c.areVotersCommitted(), value)
+	committed := c.areVotersCommitted()
+	reached := agreedBy(c, c.members, committed, value)
+	if committed {
+		return reached
+	}
+	both := min(agreedBy(c, c.members, true, value), agreedBy(c, c.before, true, value))
 	if c.needsListBefore() {
-		reached = min(reached, agreedBy(c, c.before, true, value))
+		return both
 	}
-	return reached
+	return max(reached, both)
 }
 
 // agreedBy is agreed for one member list.
@@ -105,7 +111,7 @@
 // electorate returns the names of the voters whose votes may be needed.
 func (c *Core) electorate() []string {
 	names := c.members.names(true)
-	if !c.needsListBefore() {
+	if c.areVotersCommitted() {
 		return names
 	}
 	for _, name := range c.before.names(true) {
--- a/internal/control/replica/quorum_test.go
+++ b/internal/control/replica/quorum_test.go
@@ -88,3 +88,38 @@
 		}
 	}
 }
+
+// The same for two replicas of which the first doesn't know whether the newest list is committed, and the second may know it.
+func TestQuorumsOfTheNewestListOverlapInWhatIsLeft(t *testing.T) {
+	for voters := 1; voters <= maxTestVoters; voters++ {
+		old := uint(1)<<voters - 1
+		lists := []uint{old | 1<<voters}
+		if voters > 1 {
+			lists = append(lists, old&^1)
+		}
+		for losses := range 3 {
+			for lost := range old<<1 | 1 + 1 {
+				if bits.OnesCount(lost) > losses {
+					continue
+				}
+				for _, newest := range lists {
+					for _, known := range []uint{0, lost} {
+						first := newVoterCore(old, newest, known, false, losses)
+						for _, committed := range []bool{false, true} {
+							second := newVoterCore(old, newest, lost, committed, losses)
+							for set := range uint(1) << (voters + 1) {
+								others := (old | newest) &^ lost &^ set
+								if decides(first, set) {
+									require.False(t, decides(second, others), "%d voters, %d losses, %b lost: %b decides for list %b, then %b", voters, losses, lost, set, newest, others)
+								}
+								if decides(second, set) {
+									require.False(t, decides(first, others), "%d voters, %d losses, %b lost: %b decides for list %b, then %b, which doesn't know it is committed", voters, losses, lost, set, newest, others)
+								}
+							}
+						}
+					}
+				}
+			}
+		}
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -260,6 +260,8 @@
 mutant "stale: the write of a call has no limit" internal/wire/netrpc/client.go 's/^\tstarted := c\.start\(func\(\) \{ (.*) \}\)$/\t\1\n\tstarted := true/' internal/wire/netrpc TestCallsEndInTime
 mutant "lost disk: it changes no quorum" $R/quorum.go 's/lost > 0 \&\& committed/false \&\& lost > 0 \&\& committed/' $R TestDiskLostAsOne
 mutant "lost disk: quorums of two lists needn't overlap" $R/quorum.go 's/^\tif c\.needsListBefore\(\) \{/\tif false {/' $R TestQuorumsOverlap
+mutant "lost disk: a list not known to be committed has no smaller quorums" $R/quorum.go 's/^\treturn max\(reached, both\)/\treturn reached/' $R TestDiskLostAsTheNewest
+mutant "lost disk: smaller quorums of a list not known to be committed stand alone" $R/quorum.go 's/^\tboth := min\((.*), agreedBy\(c, c\.before, true, value\)\)/\tboth := \1/' $R TestQuorumsOverlap
 mutant "lost disk: entries may be on one disk" $R/quorum.go 's/, c\.losses\+1\)\)/, 1))/' $R TestQuorumAfterALoss
 
 if [ "$survived" -gt 0 ]; then
